--- /dev/null
+++ b/crates/basaltrail-core/src/budget.rs
@@ -0,0 +1,59 @@
+//! Request rates of the state service and the cloud, shared between the nodes
+//! so that the sum stays under the limit.
+
+use crate::model::Ms;
+
+/// What a call is for; the earlier ones may use what the later ones must leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Class {
+    Lease,
+    Door,
+    Completion,
+    Rest,
+}
+
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    at: Ms,
+}
+
+impl Bucket {
+    pub fn new(rate: f64) -> Self {
+        let burst = rate.max(1.0);
+        Bucket { rate, burst, level: burst, at: 0 }
+    }
+
+    /// A new share; what was saved up beyond it is lost.
+    pub fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+        self.burst = rate.max(1.0);
+        self.level = self.level.min(self.burst);
+    }
+
+    /// Takes `n` if that leaves the share of the classes above.
+    pub fn take(&mut self, now: Ms, n: f64, class: Class) -> bool {
+        let dt = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.at = self.at.max(now);
+        self.level = (self.level + dt * self.rate).min(self.burst);
+        let keep = match class {
+            Class::Lease => -1.0,
+            Class::Door => 0.05,
+            Class::Completion => 0.15,
+            Class::Rest => 0.3,
+        } * self.burst;
+        // A batch larger than the burst goes out on a full bucket and is paid off after.
+        let enough = self.level - n >= keep || self.level >= self.burst * 0.999;
+        if enough {
+            self.level -= n;
+        }
+        enough
+    }
+
+    /// The service said we went too fast.
+    pub fn drain(&mut self) {
+        self.level = self.level.min(0.0);
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/calls.rs
@@ -0,0 +1,101 @@
+//! Calls in flight, and the budgets they were paid from.
+
+use crate::budget::{Bucket, Class};
+use crate::election::Call;
+use crate::frontdoor::{Ask, NewJob};
+use crate::io::*;
+use crate::model::*;
+use crate::reign::Flush;
+use std::collections::HashMap;
+
+/// What an answer is for.
+pub enum Purpose {
+    Election(Call),
+    JobsList { after: Option<String> },
+    JobsWatch,
+    Submit(Vec<NewJob>),
+    Check(Vec<(JobId, Vec<Ask>)>),
+    ReadActive { job: JobId, asks: Vec<Ask> },
+    ReadFinal { job: JobId, asks: Vec<Ask> },
+    Cancel { job: JobId, asks: Vec<Ask> },
+    TypesKept,
+    TypesPut,
+    Types,
+    Load { token: Token },
+    Flush { token: Token, flush: Box<Flush> },
+    Refresh { token: Token, key: String },
+    Rent { token: Token },
+    Release { token: Token, machines: Vec<MachineId> },
+    List { token: Token },
+    Probe { token: Token, machine: MachineId },
+}
+
+pub struct Calls {
+    ops: HashMap<OpId, Purpose>,
+    next: u64,
+    pub state: Bucket,
+    pub writes: Bucket,
+    pub cloud: Bucket,
+    pub out: Vec<Effect>,
+}
+
+impl Calls {
+    pub fn new() -> Self {
+        Calls {
+            ops: HashMap::new(),
+            next: 0,
+            state: Bucket::new(1.0),
+            writes: Bucket::new(1.0),
+            cloud: Bucket::new(1.0),
+            out: Vec::new(),
+        }
+    }
+
+    pub fn take(&mut self, op: OpId) -> Option<Purpose> {
+        self.ops.remove(&op)
+    }
+
+    fn note(&mut self, purpose: Purpose) -> OpId {
+        self.next += 1;
+        let op = OpId(self.next);
+        self.ops.insert(op, purpose);
+        op
+    }
+
+    /// Sends a call that was paid for already.
+    pub fn state(&mut self, purpose: Purpose, call: StateOp, timeout_ms: Ms) {
+        let op = self.note(purpose);
+        self.out.push(Effect::State { op, call, timeout_ms });
+    }
+
+    pub fn cloud(&mut self, purpose: Purpose, call: CloudOp, timeout_ms: Ms) {
+        let op = self.note(purpose);
+        self.out.push(Effect::Cloud { op, call, timeout_ms });
+    }
+
+    pub fn command(
+        &mut self,
+        purpose: Purpose,
+        endpoint: &str,
+        token: Token,
+        session: u64,
+        timeout_ms: Ms,
+    ) {
+        let op = self.note(purpose);
+        let endpoint = endpoint.into();
+        let orders = Vec::new();
+        self.out.push(Effect::Command { op, endpoint, token, session, orders, timeout_ms });
+    }
+
+    pub fn pay(&mut self, now: Ms, class: Class) -> bool {
+        self.state.take(now, 1.0, class)
+    }
+
+    pub fn answer(&mut self, req: ReqId, answer: Answer) {
+        self.out.push(Effect::Answer { req, answer });
+    }
+
+    pub fn log(&mut self, level: Level, event: &'static str, detail: String) {
+        self.out.push(Effect::Log { level, event, detail });
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -0,0 +1,287 @@
+//! Machines, their sessions, and what may be running on them.
+//!
+//! Everything here errs to one side: a task counts as on a machine until that
+//! machine's own newer report, the end of its session or its certain return says no.
+
+use crate::model::*;
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Place {
+    /// Chosen; no response has carried the start yet.
+    Assigned { at: Ms },
+    /// The start went out in the response to this report.
+    Sent { session: u64, seq: u64 },
+    /// The worker itself has told of it.
+    Told(TaskState),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub place: Place,
+    /// What it takes; None while the job is not known.
+    pub need: Option<Need>,
+    /// Ordered to stop, with this grace.
+    pub stop: Option<f64>,
+    pub stop_sent: Option<Ms>,
+    pub since: Ms,
+    /// When it was first told to be running.
+    pub running_since: Option<Ms>,
+    /// Whether its outcome was taken into the job's account.
+    pub settled: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    pub team: usize,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub memory_gb: f64,
+    pub priority: Priority,
+    pub save_s: Option<f64>,
+}
+
+impl Entry {
+    /// Whether it may hold resources of the machine.
+    pub fn holds(&self) -> bool {
+        !matches!(self.place, Place::Told(TaskState::Exited(_)))
+    }
+
+    pub fn runs(&self) -> bool {
+        matches!(self.place, Place::Told(TaskState::Running))
+    }
+}
+
+/// What a report changed, for the jobs' accounts.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// The task is surely not there (any more).
+    Gone {
+        task: TaskId,
+        attempt: Attempt,
+    },
+    /// The task is there; the leader may not have known.
+    Here {
+        task: TaskId,
+        attempt: Attempt,
+    },
+    Exited {
+        task: TaskId,
+        attempt: Attempt,
+        why: Why,
+        ran_ms: Option<Ms>,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    Checkin,
+    /// The body of an answer to a direct command: it may have been made while a
+    /// start was still on its way.
+    Direct,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Returning {
+    No,
+    /// No new work; returned once empty.
+    Draining,
+    /// A release call may have been made: whatever comes, it is not to be used.
+    Releasing,
+}
+
+pub struct Machine {
+    pub id: MachineId,
+    pub endpoint: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    /// Sessions below this one are surely over.
+    pub min_session: u64,
+    pub seq: u64,
+    /// The last moment at which an answer may have renewed its lease.
+    pub renewed: Ms,
+    pub last_checkin: Option<Ms>,
+    /// In this reign it has reported with our token, or surely holds nothing of earlier leaders.
+    pub accounted: bool,
+    /// Its lease has surely ended since it last reported.
+    pub lapsed: bool,
+    pub entries: BTreeMap<(TaskId, Attempt), Entry>,
+    /// Roster part that holds it durably.
+    pub durable: bool,
+    pub part: Option<usize>,
+    pub gone_at: Option<Ms>,
+    pub returning: Returning,
+    pub release_in_flight: bool,
+    pub idle_since: Option<Ms>,
+    pub known_since: Ms,
+    pub listed: Option<(ListedState, Ms)>,
+    /// Images it has had, newest last, with sizes.
+    pub images: Vec<(String, f64)>,
+    pub faults: u32,
+    pub no_room_until: Ms,
+}
+
+impl Machine {
+    pub fn new(id: MachineId, machine_type: &str, zone: &str, spot: bool, now: Ms) -> Self {
+        Machine {
+            id,
+            endpoint: String::new(),
+            machine_type: machine_type.into(),
+            zone: zone.into(),
+            spot,
+            session: 0,
+            min_session: 0,
+            seq: 0,
+            renewed: now,
+            last_checkin: None,
+            accounted: true,
+            lapsed: false,
+            entries: BTreeMap::new(),
+            durable: false,
+            part: None,
+            gone_at: None,
+            returning: Returning::No,
+            release_in_flight: false,
+            idle_since: None,
+            known_since: now,
+            listed: None,
+            images: Vec::new(),
+            faults: 0,
+            no_room_until: 0,
+        }
+    }
+
+    /// (cpus, gpus, memory) that may be in use.
+    pub fn used(&self) -> (f64, f64, f64) {
+        let mut u = (0.0, 0.0, 0.0);
+        for e in self.entries.values().filter(|e| e.holds()) {
+            match &e.need {
+                Some(n) => {
+                    u.0 += n.cpus;
+                    u.1 += n.gpus;
+                    u.2 += n.memory_gb;
+                }
+                // A task of a job not known yet: nothing fits beside it.
+                None => u.0 = f64::INFINITY,
+            }
+        }
+        u
+    }
+
+    pub fn has_image(&self, image: &str) -> bool {
+        self.images.iter().any(|(i, _)| i == image)
+    }
+
+    pub fn used_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| i != image);
+        self.images.push((image.into(), gb));
+        let mut sum: f64 = self.images.iter().map(|(_, g)| g).sum();
+        while sum > cache_gb && self.images.len() > 1 {
+            sum -= self.images.remove(0).1;
+        }
+    }
+
+    pub fn notice(&self, now: Ms) -> bool {
+        self.gone_at.is_some_and(|t| t > now)
+    }
+
+    pub fn empty(&self) -> bool {
+        self.entries.values().all(|e| !e.holds())
+    }
+
+    /// Drops what the end of a session took with it.
+    fn drop_all(&mut self) -> Vec<Change> {
+        let gone = std::mem::take(&mut self.entries);
+        gone.into_iter()
+            .filter(|(_, e)| !e.settled)
+            .map(|((task, attempt), _)| Change::Gone { task, attempt })
+            .collect()
+    }
+
+    /// The lease has surely ended: whatever ran is killed and forgotten, and
+    /// reports of that session can only be late ones.
+    pub fn lapse(&mut self) -> Vec<Change> {
+        self.lapsed = true;
+        self.accounted = true;
+        if self.session > 0 {
+            self.min_session = self.session + 1;
+        }
+        self.images.clear();
+        self.drop_all()
+    }
+
+    pub fn is_newer(&self, r: &Report) -> bool {
+        r.session >= self.min_session && (r.session, r.seq) > (self.session, self.seq)
+    }
+
+    /// Takes a newer report.
+    pub fn report(&mut self, now: Ms, r: &Report, origin: Origin, token: Token) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if r.session > self.session && self.session > 0 {
+            changes = self.drop_all();
+            // This session began while we lead, so nobody else can have started
+            // anything in it.
+            self.accounted = true;
+        }
+        self.session = r.session;
+        self.seq = r.seq;
+        self.endpoint.clone_from(&r.endpoint);
+        if origin == Origin::Checkin {
+            self.last_checkin = Some(now);
+            self.renewed = now;
+            self.lapsed = false;
+        }
+        self.gone_at = r.notice_s.map(|s| now + (s.clamp(0.0, 1e6) * 1000.0) as Ms);
+        if r.token >= token {
+            self.accounted = true;
+        }
+        let listed: BTreeMap<(TaskId, Attempt), TaskState> =
+            r.tasks.iter().map(|t| ((t.task, t.attempt), t.state)).collect();
+        self.entries.retain(|&(task, attempt), e| {
+            if listed.contains_key(&(task, attempt)) {
+                return true;
+            }
+            let gone = match e.place {
+                Place::Assigned { .. } => false,
+                // A later report of the same session, made after the response with
+                // the start was taken or dropped, shows that the start was lost.
+                Place::Sent { session, seq } => {
+                    origin == Origin::Checkin && (r.session, r.seq) > (session, seq)
+                }
+                Place::Told(_) => true,
+            };
+            if gone && !e.settled {
+                changes.push(Change::Gone { task, attempt });
+            }
+            !gone
+        });
+        for ((task, attempt), state) in listed {
+            let known = self.entries.contains_key(&(task, attempt));
+            let e = self.entries.entry((task, attempt)).or_insert_with(|| Entry {
+                place: Place::Told(state),
+                need: None,
+                stop: None,
+                stop_sent: None,
+                since: now,
+                running_since: None,
+                settled: false,
+            });
+            e.place = Place::Told(state);
+            if state == TaskState::Running && e.running_since.is_none() {
+                e.running_since = Some(now);
+            }
+            if let TaskState::Exited(why) = state {
+                if !e.settled {
+                    e.settled = true;
+                    let ran_ms = e.running_since.map(|t| now - t);
+                    changes.push(Change::Exited { task, attempt, why, ran_ms });
+                }
+            } else if !known || e.need.is_none() {
+                changes.push(Change::Here { task, attempt });
+            }
+        }
+        changes
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/frontdoor.rs
@@ -0,0 +1,105 @@
+//! Submissions, polls and cancels, on every node alike.
+//!
+//! Ends are told from memory. Anything else is told only after the state service
+//! has confirmed, since the request came, that what we hold is still so.
+
+use crate::io::*;
+use crate::jobs::Table;
+use crate::model::*;
+use crate::records::*;
+use crate::settings::Settings;
+use std::collections::{BTreeMap, HashMap};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Submit,
+    Poll,
+    Cancel,
+}
+
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub req: ReqId,
+    pub kind: Kind,
+}
+
+pub struct NewJob {
+    pub job: JobId,
+    pub spec: Box<JobSpec>,
+    pub asks: Vec<Ask>,
+}
+
+#[derive(Default)]
+pub struct FrontDoor {
+    /// Jobs to be checked, with those who wait for them, and since when.
+    pub checks: BTreeMap<JobId, Vec<Ask>>,
+    pub checks_since: Ms,
+    pub checks_in_flight: u32,
+    pub submits: Vec<NewJob>,
+    pub submits_in_flight: u32,
+    pub reads: Vec<(JobId, Vec<Ask>)>,
+    /// Asks anywhere in here, for the bound.
+    pub waiting: usize,
+    /// What the leader last told of running tasks; for display only.
+    pub display: HashMap<JobId, (u32, u32)>,
+}
+
+/// Whether the job can ever run: the answer is the same on every node.
+pub fn impossible(s: &Settings, types: &[MachineType], spec: &JobSpec) -> Option<&'static str> {
+    let Some(team) = s.team(&spec.team) else { return Some("unknown team") };
+    let t = &s.teams[team];
+    if spec.cpus > t.cpus_max + 1e-9 || spec.gpus > t.gpus_max + 1e-9 {
+        return Some("a task needs more than the team's limit");
+    }
+    if !types.iter().any(|m| m.allowed(spec) && m.holds(spec) > 0) {
+        return Some("a task fits no allowed machine type");
+    }
+    None
+}
+
+impl FrontDoor {
+    pub fn check(&mut self, now: Ms, job: JobId, ask: Ask) {
+        if self.checks.is_empty() {
+            self.checks_since = now;
+        }
+        self.waiting += 1;
+        self.checks.entry(job).or_default().push(ask);
+    }
+
+    /// Up to `most` jobs, with the conditions that confirm what we hold.
+    pub fn take_checks(
+        &mut self,
+        table: &Table,
+        conditions: usize,
+    ) -> (Vec<(JobId, Vec<Ask>)>, Vec<(String, u64)>) {
+        let mut jobs = Vec::new();
+        let mut conds = Vec::new();
+        while conds.len() + 2 <= conditions {
+            let Some((job, asks)) = self.checks.pop_first() else { break };
+            match table.active.get(&job) {
+                Some(a) => conds.push((active_key(job), a.stamp)),
+                None => {
+                    conds.push((active_key(job), 0));
+                    conds.push((final_key(job), 0));
+                }
+            }
+            jobs.push((job, asks));
+        }
+        (jobs, conds)
+    }
+
+    /// What a user is told of a job whose entry has just been confirmed.
+    pub fn view(&self, table: &Table, job: JobId) -> Option<Answer> {
+        let told = |view, done, running| Some(Answer::State { job, view, done, running });
+        match table.ended(job) {
+            Some(Final::Done) => return told(JobView::Done, 0, 0),
+            Some(Final::Cancelled) => return told(JobView::Cancelled, 0, 0),
+            None => {}
+        }
+        let a = table.active.get(&job)?;
+        let (done, running) = self.display.get(&job).copied().unwrap_or((0, 0));
+        // Done is told only from the durable end, never from counts.
+        let done = done.min(a.spec.tasks);
+        told(if running > 0 { JobView::Running } else { JobView::Queued }, done, running)
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/jobs.rs
@@ -0,0 +1,184 @@
+//! Jobs: the table every node keeps of them, and the leader's account of their tasks.
+
+use crate::fairness::Account;
+use crate::model::*;
+use crate::records::*;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+/// An active job as the state service holds it.
+#[derive(Clone, Debug)]
+pub struct Active {
+    pub stamp: u64,
+    pub at: WallMs,
+    pub spec: Arc<JobSpec>,
+}
+
+/// What this node knows of jobs. Ends never change, so they may be told from here;
+/// anything else must be checked first.
+pub struct Table {
+    pub active: BTreeMap<JobId, Active>,
+    finals: HashMap<JobId, Final>,
+    order: VecDeque<JobId>,
+    keep: usize,
+    /// Jobs whose entry changed since the leader last looked.
+    pub changed: BTreeSet<JobId>,
+}
+
+impl Table {
+    pub fn new(keep: usize) -> Self {
+        Table {
+            active: BTreeMap::new(),
+            finals: HashMap::new(),
+            order: VecDeque::new(),
+            keep,
+            changed: BTreeSet::new(),
+        }
+    }
+
+    pub fn ended(&self, job: JobId) -> Option<Final> {
+        self.finals.get(&job).copied()
+    }
+
+    pub fn put_active(&mut self, job: JobId, stamp: u64, record: JobRecord) {
+        if self.finals.contains_key(&job) {
+            return;
+        }
+        if self.active.get(&job).is_some_and(|a| a.stamp >= stamp) {
+            return;
+        }
+        self.active.insert(job, Active { stamp, at: record.at, spec: Arc::new(record.spec) });
+        self.changed.insert(job);
+    }
+
+    pub fn put_final(&mut self, job: JobId, end: Final) {
+        self.active.remove(&job);
+        self.changed.insert(job);
+        if self.finals.insert(job, end).is_none() {
+            self.order.push_back(job);
+            // Older ends are read again when somebody asks.
+            if self.order.len() > self.keep {
+                if let Some(old) = self.order.pop_front() {
+                    self.finals.remove(&old);
+                }
+            }
+        }
+    }
+
+    /// The active entry is gone as of `stamp`; how the job ended is told elsewhere.
+    pub fn remove_active(&mut self, job: JobId, stamp: u64) {
+        if self.active.get(&job).is_some_and(|a| a.stamp < stamp) {
+            self.active.remove(&job);
+            self.changed.insert(job);
+        }
+    }
+}
+
+/// The leader's account of one job.
+pub struct RunJob {
+    pub id: JobId,
+    pub spec: Arc<JobSpec>,
+    pub team: usize,
+    pub stamp: u64,
+    pub at: WallMs,
+    pub done: Bits,
+    /// Completions known to be in the state service.
+    pub durable: Bits,
+    pub dirty: BTreeSet<u32>,
+    pub parts: BTreeSet<u32>,
+    /// Where each task may be. One place at a time.
+    pub placed: BTreeMap<u32, (MachineId, Attempt)>,
+    retry: BTreeSet<u32>,
+    cursor: u32,
+    pub account: Account,
+    pub started: bool,
+    pub ended: Option<Final>,
+    pub errors: u32,
+    pub not_before: Ms,
+    /// Machines on which it failed, for telling faulty jobs from faulty machines.
+    pub failed_on: BTreeSet<MachineId>,
+}
+
+impl RunJob {
+    pub fn new(id: JobId, team: usize, a: &Active) -> Self {
+        RunJob {
+            id,
+            spec: a.spec.clone(),
+            team,
+            stamp: a.stamp,
+            at: a.at,
+            done: Bits::default(),
+            durable: Bits::default(),
+            dirty: BTreeSet::new(),
+            parts: BTreeSet::new(),
+            placed: BTreeMap::new(),
+            retry: BTreeSet::new(),
+            cursor: 0,
+            account: Account::default(),
+            started: false,
+            ended: None,
+            errors: 0,
+            not_before: 0,
+            failed_on: BTreeSet::new(),
+        }
+    }
+
+    pub fn complete(&self) -> bool {
+        self.done.count() >= self.spec.tasks
+    }
+
+    /// Tasks neither done nor anywhere.
+    pub fn pending(&self) -> u32 {
+        if self.ended.is_some() {
+            return 0;
+        }
+        // A task is only ever done, placed, or pending; done ones hold no place.
+        self.spec.tasks.saturating_sub(self.done.count() + self.placed.len() as u32)
+    }
+
+    pub fn next_pending(&mut self) -> Option<u32> {
+        loop {
+            let task = match self.retry.pop_first() {
+                Some(t) => t,
+                None if self.cursor < self.spec.tasks => {
+                    self.cursor += 1;
+                    self.cursor - 1
+                }
+                None => return None,
+            };
+            if !self.done.get(task) && !self.placed.contains_key(&task) {
+                return Some(task);
+            }
+        }
+    }
+
+    pub fn put_back(&mut self, task: u32) {
+        if !self.done.get(task) && task < self.spec.tasks {
+            self.retry.insert(task);
+        }
+    }
+
+    /// Its place is settled: it is there no more.
+    pub fn free(&mut self, task: u32, machine: &MachineId, attempt: Attempt) -> bool {
+        if self.placed.get(&task).is_some_and(|(m, a)| m == machine && *a == attempt) {
+            self.placed.remove(&task);
+            self.put_back(task);
+            return true;
+        }
+        false
+    }
+
+    pub fn mark_done(&mut self, task: u32) -> bool {
+        if task < self.spec.tasks && self.done.set(task) {
+            self.dirty.insert(task / PART);
+            return true;
+        }
+        false
+    }
+
+    /// Seconds until its deadline, if it has one.
+    pub fn slack_s(&self, wall: WallMs) -> Option<f64> {
+        let due = self.spec.deadline_s?;
+        Some(due - (wall - self.at) as f64 / 1000.0)
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/lib.rs
@@ -0,0 +1,22 @@
+//! basaltrail's decisions, without I/O: inputs go in, effects come out.
+
+pub mod budget;
+pub mod calls;
+pub mod election;
+pub mod fairness;
+pub mod fleet;
+pub mod frontdoor;
+pub mod io;
+pub mod jobs;
+pub mod model;
+pub mod node;
+pub mod placement;
+pub mod records;
+pub mod reign;
+pub mod rental;
+pub mod settings;
+
+pub use io::*;
+pub use model::*;
+pub use node::Node;
+pub use settings::{Objective, Policy, Settings, Team};
--- /dev/null
+++ b/crates/basaltrail-core/src/records.rs
@@ -0,0 +1,150 @@
+//! What is kept in the state service, and under which keys.
+
+use crate::model::*;
+use serde::{Deserialize, Serialize};
+
+pub const CONTROL: &str = "c/";
+pub const LEADER: &str = "c/leader";
+pub const TERM: &str = "c/term";
+pub const JOBS: &str = "j/";
+pub const ACTIVE: &str = "j/a/";
+pub const FINAL: &str = "j/t/";
+pub const DONE: &str = "d/";
+pub const ROSTER: &str = "r/";
+pub const LEDGER: &str = "l/ledger";
+pub const TYPES: &str = "m/types";
+
+/// Tasks of one job whose completion is kept under one key.
+pub const PART: u32 = 4096;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub node: String,
+    pub incarnation: u64,
+    pub token: Token,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Time of day of the first acceptance.
+    pub at: WallMs,
+    pub spec: JobSpec,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RosterEntry {
+    pub id: MachineId,
+    #[serde(rename = "ty")]
+    pub machine_type: String,
+    #[serde(rename = "z")]
+    pub zone: String,
+    #[serde(rename = "s")]
+    pub spot: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LedgerRecord {
+    /// Team, CPU-seconds received, CPU-seconds of fair share.
+    pub teams: Vec<(String, f64, f64)>,
+    /// Time of day at which the grants of the round end.
+    pub leases_end: WallMs,
+}
+
+pub fn active_key(job: JobId) -> String {
+    format!("{ACTIVE}{job}")
+}
+
+pub fn final_key(job: JobId) -> String {
+    format!("{FINAL}{job}")
+}
+
+pub fn done_key(job: JobId, part: u32) -> String {
+    format!("{DONE}{job}/{part}")
+}
+
+pub fn roster_key(part: usize) -> String {
+    format!("{ROSTER}{part}")
+}
+
+/// Our own keys hold exactly `{:06}`; anything else is not ours.
+pub fn parse_job(text: &str) -> Option<JobId> {
+    let id = JobId(text.parse().ok()?);
+    (id.to_string() == text).then_some(id)
+}
+
+pub fn parse_done_key(key: &str) -> Option<(JobId, u32)> {
+    let (job, part) = key.strip_prefix(DONE)?.split_once('/')?;
+    Some((parse_job(job)?, part.parse().ok()?))
+}
+
+pub fn encode<T: Serialize>(value: &T) -> String {
+    // Our own records hold no maps with odd keys, so this does not fail.
+    serde_json::to_string(value).unwrap_or_else(|_| "null".into())
+}
+
+pub fn decode<'a, T: Deserialize<'a>>(text: &'a str) -> Option<T> {
+    serde_json::from_str(text).ok()
+}
+
+/// A set of task numbers that grows as it is filled.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Bits {
+    words: Vec<u64>,
+    count: u32,
+}
+
+impl Bits {
+    pub fn get(&self, i: u32) -> bool {
+        self.words.get(i as usize / 64).is_some_and(|w| w >> (i % 64) & 1 == 1)
+    }
+
+    /// True if it was not in the set yet.
+    pub fn set(&mut self, i: u32) -> bool {
+        let w = i as usize / 64;
+        if self.words.len() <= w {
+            self.words.resize(w + 1, 0);
+        }
+        let fresh = self.words[w] >> (i % 64) & 1 == 0;
+        self.words[w] |= 1 << (i % 64);
+        self.count += fresh as u32;
+        fresh
+    }
+
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+
+    fn part_words(part: u32) -> std::ops::Range<usize> {
+        let per = PART as usize / 64;
+        part as usize * per..(part as usize + 1) * per
+    }
+
+    /// One part as hexadecimal words, lowest tasks first.
+    pub fn part(&self, part: u32) -> String {
+        let r = Self::part_words(part);
+        let words = &self.words[r.start.min(self.words.len())..r.end.min(self.words.len())];
+        let mut out = String::with_capacity(words.len() * 16);
+        for w in words {
+            out.push_str(&format!("{w:016x}"));
+        }
+        out
+    }
+
+    /// Adds a part written by [`Bits::part`]; false if it cannot be one.
+    pub fn add_part(&mut self, part: u32, text: &str) -> bool {
+        if text.len() % 16 != 0 || text.len() > PART as usize / 4 || !text.is_ascii() {
+            return false;
+        }
+        for (i, chunk) in text.as_bytes().chunks(16).enumerate() {
+            let Some(word) =
+                std::str::from_utf8(chunk).ok().and_then(|s| u64::from_str_radix(s, 16).ok())
+            else {
+                return false;
+            };
+            for b in (0..64).filter(|b| word >> b & 1 == 1) {
+                self.set(part * PART + i as u32 * 64 + b);
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/rental.rs
@@ -0,0 +1,70 @@
+//! How many machines to rent, of which kind, and which to give back.
+
+use crate::model::*;
+
+/// A kind of machine that can be asked for.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Kind {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// A rental whose outcome is not known yet; the same name is asked again until it is.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub requisition: String,
+    pub kind: Kind,
+    pub count: u32,
+    pub tries: u32,
+}
+
+#[derive(Default)]
+pub struct Rental {
+    pub pending: Option<Request>,
+    pub in_flight: bool,
+    pub not_before: Ms,
+    /// Kinds that had no capacity, and until when they are left alone.
+    pub refused: Vec<(Kind, Ms)>,
+    pub counter: u64,
+    pub next_list: Ms,
+    pub listing: Option<Vec<ListedMachine>>,
+    pub list_in_flight: bool,
+    pub release_in_flight: bool,
+    pub release_not_before: Ms,
+    pub next_plan: Ms,
+}
+
+impl Rental {
+    pub fn refuse(&mut self, kind: Kind, until: Ms) {
+        self.refused.retain(|(k, _)| *k != kind);
+        self.refused.push((kind, until));
+    }
+
+    pub fn open(&self, kind: &Kind, now: Ms) -> bool {
+        !self.refused.iter().any(|(k, t)| k == kind && *t > now)
+    }
+
+    /// The kinds that may be asked, best first. Where money is an aim the cheapest
+    /// per CPU lead; where it is none those that are not taken back do.
+    pub fn kinds(
+        &self,
+        types: &[MachineType],
+        thrifty: bool,
+        fleet: impl Fn(&Kind) -> usize,
+    ) -> Vec<Kind> {
+        let mut all: Vec<(f64, usize, Kind)> = Vec::new();
+        for t in types {
+            for zone in &t.zones {
+                for spot in [false, true] {
+                    let kind = Kind { machine_type: t.name.clone(), zone: zone.clone(), spot };
+                    let price = if spot { t.spot_price } else { t.price } / t.cpus.max(1e-9);
+                    let rank = if thrifty { price } else { spot as u8 as f64 };
+                    all.push((rank, fleet(&kind), kind));
+                }
+            }
+        }
+        all.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
+        all.into_iter().map(|(_, _, k)| k).collect()
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/settings.rs
@@ -0,0 +1,104 @@
+//! What the platform and the operator set. Constants elsewhere are ratios to these.
+
+use crate::model::Ms;
+
+#[derive(Clone, Debug)]
+pub struct Team {
+    pub name: String,
+    pub cpus: f64,
+    pub cpus_max: f64,
+    pub gpus: f64,
+    pub gpus_max: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<String>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub node: String,
+    pub zone: String,
+    pub nodes: usize,
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub objectives: Vec<Objective>,
+    pub report_ms: Ms,
+    pub lease_ms: Ms,
+    pub cancel_ms: Ms,
+    pub state_rps: f64,
+    pub write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag_ms: Ms,
+    pub memory_mb: f64,
+    /// Differs at every start of the process.
+    pub incarnation: u64,
+    pub policy: Policy,
+}
+
+/// The operators' own settings; every one has a default.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Policy {
+    /// The leader's lease over the workers' lease.
+    pub leader_lease: f64,
+    /// Seconds between rounds.
+    pub round_s: f64,
+    /// Seconds that a grant counts for at once.
+    pub lease_term_s: f64,
+    /// Capacity kept ready over the summed guarantees where money is no aim.
+    pub headroom: f64,
+    /// Seconds a machine may idle before it is returned where money is an aim.
+    pub idle_s: f64,
+    /// Machines looked at for one placement before sampling starts.
+    pub sample: usize,
+    /// Weights by team; a team not named weighs its guarantee.
+    pub weights: Vec<(String, f64)>,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy {
+            leader_lease: 0.5,
+            round_s: 10.0,
+            lease_term_s: 10.0,
+            headroom: 1.3,
+            idle_s: 20.0,
+            sample: 64,
+            weights: Vec::new(),
+        }
+    }
+}
+
+impl Settings {
+    pub fn leader_lease_ms(&self) -> Ms {
+        ((self.lease_ms as f64 * self.policy.leader_lease) as Ms).clamp(100, 600_000)
+    }
+
+    /// A span of the wall that is surely over when ours is: clocks drift apart by 0.05%.
+    pub fn surely(&self, ms: Ms) -> Ms {
+        ms + ms / 500 + 50
+    }
+
+    /// A span that is over before a span of the same length elsewhere.
+    pub fn at_most(&self, ms: Ms) -> Ms {
+        ms - ms / 500
+    }
+
+    pub fn team(&self, name: &str) -> Option<usize> {
+        self.teams.iter().position(|t| t.name == name)
+    }
+
+    pub fn weight(&self, team: usize) -> f64 {
+        let t = &self.teams[team];
+        self.policy.weights.iter().find(|(n, _)| *n == t.name).map_or(t.cpus.max(1.0), |(_, w)| *w)
+    }
+
+    /// Whether the objectives name money.
+    pub fn thrifty(&self) -> bool {
+        self.objectives.iter().any(|o| o.kind == "useful" || o.kind == "price")
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-protocol/src/frames.rs
@@ -0,0 +1,100 @@
+//! Frames between controllers: fixed layouts, little-endian, versioned. They carry
+//! hints for display only; a frame of another version or length ends the connection.
+
+use basaltrail_core::io::Progress;
+use basaltrail_core::model::JobId;
+use zerocopy::little_endian::{U16, U32, U64};
+use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
+
+pub const MAGIC: [u8; 4] = *b"BTRL";
+pub const VERSION: u16 = 1;
+const PROGRESS: u16 = 1;
+/// Records in one frame at the most; the rest goes into further frames.
+pub const RECORDS_MOST: usize = 1024;
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct Header {
+    magic: [u8; 4],
+    version: U16,
+    kind: U16,
+    count: U32,
+}
+
+#[derive(FromBytes, IntoBytes, KnownLayout, Immutable, Unaligned)]
+#[repr(C)]
+struct ProgressRecord {
+    job: U64,
+    done: U32,
+    running: U32,
+}
+
+pub const HEADER_BYTES: usize = std::mem::size_of::<Header>();
+const RECORD_BYTES: usize = std::mem::size_of::<ProgressRecord>();
+
+/// Bytes that follow this header, or nothing if the frame is not one of ours.
+pub fn body_bytes(header: &[u8]) -> Option<usize> {
+    let h = Header::ref_from_bytes(header).ok()?;
+    let count = h.count.get() as usize;
+    let ours = h.magic == MAGIC && h.version.get() == VERSION && h.kind.get() == PROGRESS;
+    (ours && count <= RECORDS_MOST).then_some(count * RECORD_BYTES)
+}
+
+pub fn read(body: &[u8]) -> Option<Vec<Progress>> {
+    let records = <[ProgressRecord]>::ref_from_bytes(body).ok()?;
+    let progress = |r: &ProgressRecord| Progress {
+        job: JobId(r.job.get()),
+        done: r.done.get(),
+        running: r.running.get(),
+    };
+    Some(records.iter().map(progress).collect())
+}
+
+/// One frame; records beyond [`RECORDS_MOST`] are left out.
+pub fn write(progress: &[Progress]) -> Vec<u8> {
+    let progress = &progress[..progress.len().min(RECORDS_MOST)];
+    let header = Header {
+        magic: MAGIC,
+        version: U16::new(VERSION),
+        kind: U16::new(PROGRESS),
+        count: U32::new(progress.len() as u32),
+    };
+    let mut out = Vec::with_capacity(HEADER_BYTES + progress.len() * RECORD_BYTES);
+    out.extend_from_slice(header.as_bytes());
+    for p in progress {
+        let r = ProgressRecord {
+            job: U64::new(p.job.0),
+            done: U32::new(p.done),
+            running: U32::new(p.running),
+        };
+        out.extend_from_slice(r.as_bytes());
+    }
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_round_trip_and_others_are_refused() {
+        let p = [
+            Progress { job: JobId(412), done: 3, running: 13 },
+            Progress { job: JobId(u64::MAX), done: u32::MAX, running: 0 },
+        ];
+        let frame = write(&p);
+        assert_eq!(frame.len(), HEADER_BYTES + 32);
+        assert_eq!(body_bytes(&frame[..HEADER_BYTES]), Some(32));
+        assert_eq!(read(&frame[HEADER_BYTES..]).unwrap(), p);
+        assert_eq!(read(&frame[HEADER_BYTES..frame.len() - 1]), None);
+        for at in 0..8 {
+            let mut bad = frame.clone();
+            bad[at] ^= 0x40;
+            assert_eq!(body_bytes(&bad[..HEADER_BYTES]), None, "byte {at}");
+        }
+        let mut long = frame;
+        long[8..12].copy_from_slice(&(RECORDS_MOST as u32 + 1).to_le_bytes());
+        assert_eq!(body_bytes(&long[..HEADER_BYTES]), None);
+        assert_eq!(body_bytes(&long[..3]), None);
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-protocol/src/jobs.rs
@@ -0,0 +1,205 @@
+//! Submissions and their answers.
+
+use crate::{names, Malformed};
+use basaltrail_core::io::Answer;
+use basaltrail_core::model::*;
+use serde::{Deserialize, Serialize};
+
+/// The most tasks one job may have.
+pub const TASKS_MOST: u32 = 100_000;
+/// Longest text in a submission that we keep.
+const TEXT_MOST: usize = 200;
+const LIST_MOST: usize = 64;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Submission {
+    name_id: String,
+    shelf: String,
+    desk: String,
+    binding: String,
+    precedence: Precedence,
+    leaves: u32,
+    vcpus: f64,
+    gpus: f64,
+    ram_gb: f64,
+    edition: String,
+    size_gb: f64,
+    #[serde(default)]
+    formats: Option<Vec<String>>,
+    #[serde(default)]
+    room: Option<String>,
+    same_place: bool,
+    apart: bool,
+    remainders: bool,
+    reckon_s: f64,
+    bookmark_s: f64,
+    press_s: f64,
+    #[serde(default)]
+    due_s: Option<f64>,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum Precedence {
+    Critical,
+    Urgent,
+    Standard,
+    BestEffort,
+}
+
+/// Reads a submission; the error says what is wrong with it.
+pub fn submission(body: &[u8]) -> Result<(JobId, JobSpec), Malformed> {
+    let s: Submission = serde_json::from_slice(body)?;
+    let field = |ok: bool, what| if ok { Ok(()) } else { Err(Malformed::Field(what)) };
+    let amount = |x: f64| x.is_finite() && (0.0..=1e12).contains(&x);
+    let text = |t: &str| !t.is_empty() && t.len() <= TEXT_MOST;
+    let job =
+        names::job(&s.name_id).ok_or(Malformed::Field("nameId is not of the form job-NNNNNN"))?;
+    field(s.binding == "array", "binding must be array")?;
+    field((1..=TASKS_MOST).contains(&s.leaves), "leaves must be 1 to 100000")?;
+    field(amount(s.vcpus) && s.vcpus > 0.0, "vcpus must be above 0")?;
+    field(amount(s.gpus), "gpus must be 0 or more")?;
+    field(amount(s.ram_gb), "ramGb must be 0 or more")?;
+    field(amount(s.size_gb), "sizeGb must be 0 or more")?;
+    field(amount(s.reckon_s), "reckonS must be 0 or more")?;
+    field(amount(s.bookmark_s), "bookmarkS must be 0 or more")?;
+    field(amount(s.press_s), "pressS must be 0 or more")?;
+    field(s.due_s.is_none_or(amount), "dueS must be 0 or more")?;
+    field(text(&s.shelf) && text(&s.desk) && text(&s.edition), "a name is empty or too long")?;
+    field(s.room.as_deref().is_none_or(text), "room is empty or too long")?;
+    let formats_ok = |f: &Vec<String>| f.len() <= LIST_MOST && f.iter().all(|t| text(t));
+    field(s.formats.as_ref().is_none_or(formats_ok), "formats is not a list of types")?;
+    let priority = match s.precedence {
+        Precedence::Critical => Priority::Production,
+        Precedence::Urgent => Priority::High,
+        Precedence::Standard => Priority::Normal,
+        Precedence::BestEffort => Priority::Low,
+    };
+    let spec = JobSpec {
+        class: s.shelf,
+        team: s.desk,
+        priority,
+        tasks: s.leaves,
+        cpus: s.vcpus,
+        gpus: s.gpus,
+        memory_gb: s.ram_gb,
+        types: s.formats,
+        zone: s.room,
+        one_zone: s.same_place,
+        spread: s.apart,
+        spot: s.remainders,
+        image: s.edition,
+        image_gb: s.size_gb,
+        estimate_s: s.reckon_s,
+        checkpoint_s: s.bookmark_s,
+        save_s: s.press_s,
+        deadline_s: s.due_s,
+    };
+    Ok((job, spec))
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct JobBody {
+    name_id: String,
+    condition: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    done: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    running: Option<u32>,
+}
+
+#[derive(Serialize)]
+struct ErrorBody {
+    error: String,
+}
+
+/// Status, body and `Retry-After` of an answer to a user.
+pub fn answer(answer: &Answer) -> (u16, String, Option<u32>) {
+    let json = |b: &JobBody| serde_json::to_string(b).unwrap_or_default();
+    match answer {
+        Answer::Created { job } => {
+            let b = JobBody {
+                name_id: names::job_name(*job),
+                condition: "queued",
+                done: None,
+                running: None,
+            };
+            (201, json(&b), None)
+        }
+        Answer::State { job, view, done, running } => {
+            let condition = match view {
+                JobView::Queued => "queued",
+                JobView::Running => "running",
+                JobView::Done => "done",
+                JobView::Cancelled => "aborted",
+            };
+            let live = matches!(view, JobView::Queued | JobView::Running);
+            let b = JobBody {
+                name_id: names::job_name(*job),
+                condition,
+                done: live.then_some(*done),
+                running: live.then_some(*running),
+            };
+            (200, json(&b), None)
+        }
+        Answer::Invalid(why) => (400, error(why), None),
+        Answer::Impossible(why) => (422, error(why), None),
+        Answer::NotFound => (404, error("no such job"), None),
+        Answer::Busy { retry_s, why } => (503, error(why), Some(*retry_s)),
+        Answer::Orders { .. } | Answer::Elsewhere { .. } => (500, error("not for users"), None),
+    }
+}
+
+pub fn error(why: &str) -> String {
+    serde_json::to_string(&ErrorBody { error: why.into() }).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"nameId":"job-000412","shelf":"train","desk":"vision","binding":"array",
+        "precedence":"urgent","leaves":16,"vcpus":8.0,"gpus":1.0,"ramGb":64.0,"edition":"img-07",
+        "sizeGb":6.2,"formats":["g8"],"room":null,"samePlace":true,"apart":false,"remainders":true,
+        "reckonS":240.0,"bookmarkS":30.0,"pressS":4.0,"dueS":900.0,"later":{"unknown":1}}"#;
+
+    #[test]
+    fn a_submission_is_read() {
+        let (job, spec) = submission(GOOD.as_bytes()).unwrap();
+        assert_eq!(job, JobId(412));
+        assert_eq!((spec.tasks, spec.priority, spec.deadline_s), (16, Priority::High, Some(900.0)));
+        let none = GOOD.replace("\"formats\":[\"g8\"],\"room\":null,", "").replace("900.0", "null");
+        let (_, spec) = submission(none.as_bytes()).unwrap();
+        assert_eq!((spec.types, spec.zone, spec.deadline_s), (None, None, None));
+    }
+
+    #[test]
+    fn bad_submissions_are_refused() {
+        for (from, to) in [
+            ("\"job-000412\"", "\"job-412\""),
+            ("\"job-000412\"", "412"),
+            ("\"array\"", "\"group\""),
+            ("\"urgent\"", "\"soon\""),
+            ("\"leaves\":16", "\"leaves\":0"),
+            ("\"leaves\":16", "\"leaves\":100001"),
+            ("\"leaves\":16", "\"leaves\":1e30"),
+            ("\"leaves\":16", "\"leaves\":-1"),
+            ("\"vcpus\":8.0", "\"vcpus\":-8.0"),
+            ("\"vcpus\":8.0", "\"vcpus\":NaN"),
+            ("\"vcpus\":8.0", "\"vcpus\":1e999"),
+            ("\"ramGb\":64.0", "\"ramGb\":\"64\""),
+            ("\"apart\":false,", ""),
+            ("[\"g8\"]", "\"g8\""),
+            ("}}", "}"),
+        ] {
+            let body = GOOD.replacen(from, to, 1);
+            assert_ne!(body, GOOD);
+            assert!(submission(body.as_bytes()).is_err(), "{from} -> {to}");
+        }
+        for body in ["", "null", "[]", "\"x\"", "{}", "\u{0}"] {
+            assert!(submission(body.as_bytes()).is_err(), "{body:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-protocol/src/workers.rs
@@ -0,0 +1,167 @@
+//! Reports of workers and orders to them.
+
+use crate::{names, Malformed};
+use basaltrail_core::model::*;
+use serde::{Deserialize, Serialize};
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ReportBody {
+    stack: String,
+    #[serde(default)]
+    endpoint: String,
+    format: String,
+    room: String,
+    #[serde(default)]
+    remainders: bool,
+    tenure: u64,
+    folio: u64,
+    #[serde(default)]
+    warrant: u64,
+    #[serde(default)]
+    recall_s: Option<f64>,
+    leaves: Vec<LeafBody>,
+}
+
+#[derive(Deserialize)]
+struct LeafBody {
+    leaf: String,
+    printing: u64,
+    condition: String,
+    #[serde(default)]
+    colophon: Option<String>,
+}
+
+/// Reads a report. One task that cannot be read spoils the whole report: a list
+/// with a gap would tell us that something is not there.
+pub fn report(body: &[u8]) -> Result<Report, Malformed> {
+    let r: ReportBody = serde_json::from_slice(body)?;
+    let machine = names::machine(&r.stack).ok_or(Malformed::Field("stack is not a name"))?;
+    if r.endpoint.len() > 100 || r.format.len() > 100 || r.room.len() > 100 {
+        return Err(Malformed::Field("a name is too long"));
+    }
+    let notice_s = r.recall_s.filter(|s| s.is_finite());
+    let mut tasks = Vec::with_capacity(r.leaves.len());
+    for l in r.leaves {
+        let task = names::task(&l.leaf).ok_or(Malformed::Field("leaf is not a task"))?;
+        let state = match l.condition.as_str() {
+            "fetching" => TaskState::Fetching,
+            "running" => TaskState::Running,
+            "flushing" => TaskState::Saving,
+            "ended" => TaskState::Exited(match l.colophon.as_deref() {
+                Some("done") => Why::Done,
+                Some("stopped") => Why::Stopped,
+                Some("no_room") => Why::NoRoom,
+                Some("in_use") => Why::Busy,
+                Some("unknown") => Why::Unknown,
+                _ => Why::Error,
+            }),
+            _ => return Err(Malformed::Field("condition is not known")),
+        };
+        tasks.push(TaskReport { task, attempt: Attempt(l.printing), state });
+    }
+    Ok(Report {
+        machine,
+        endpoint: r.endpoint,
+        machine_type: r.format,
+        zone: r.room,
+        spot: r.remainders,
+        session: r.tenure,
+        seq: r.folio,
+        token: Token(r.warrant),
+        notice_s,
+        tasks,
+    })
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct OrderBody {
+    order: &'static str,
+    leaf: String,
+    printing: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    grace_s: Option<f64>,
+}
+
+#[derive(Serialize)]
+struct OrdersBody {
+    warrant: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    tenure: Option<u64>,
+    orders: Vec<OrderBody>,
+}
+
+#[derive(Serialize)]
+struct ElsewhereBody<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    steward: Option<&'a str>,
+}
+
+/// The body of a response to a report, or, with a session, of a direct command.
+pub fn orders(token: Token, session: Option<u64>, orders: &[Order]) -> String {
+    let orders = orders
+        .iter()
+        .map(|o| {
+            let (order, task, attempt, grace_s) = match *o {
+                Order::Start { task, attempt } => ("start", task, attempt, None),
+                Order::Stop { task, attempt, grace_s } => ("kill", task, attempt, Some(grace_s)),
+                Order::Forget { task, attempt } => ("forget", task, attempt, None),
+            };
+            OrderBody { order, leaf: names::task_name(task), printing: attempt.0, grace_s }
+        })
+        .collect();
+    serde_json::to_string(&OrdersBody { warrant: token.0, tenure: session, orders })
+        .unwrap_or_default()
+}
+
+pub fn elsewhere(leader: Option<&str>) -> String {
+    serde_json::to_string(&ElsewhereBody { steward: leader }).unwrap_or_default()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_is_read_and_orders_are_written() {
+        let r = report(
+            br#"{"stack":"m-000231","endpoint":"10.1.0.232:9000","format":"g8","room":"a",
+            "remainders":true,"tenure":1,"folio":88,"warrant":41,"recallS":null,"leaves":[
+            {"leaf":"job-000412/3","printing":2,"condition":"running"},
+            {"leaf":"job-000398/0","printing":1,"condition":"ended","colophon":"done"}]}"#,
+        )
+        .unwrap();
+        assert_eq!((r.session, r.seq, r.token), (1, 88, Token(41)));
+        assert_eq!(r.tasks[1].state, TaskState::Exited(Why::Done));
+        let t = r.tasks[0].task;
+        let body = orders(
+            Token(41),
+            None,
+            &[
+                Order::Start { task: t, attempt: Attempt(2) },
+                Order::Stop { task: t, attempt: Attempt(2), grace_s: 10.0 },
+            ],
+        );
+        assert_eq!(
+            body,
+            r#"{"warrant":41,"orders":[{"order":"start","leaf":"job-000412/3","printing":2},{"order":"kill","leaf":"job-000412/3","printing":2,"graceS":10.0}]}"#
+        );
+    }
+
+    /// A list with one unreadable task must not pass for a list without that task.
+    #[test]
+    fn a_report_with_a_gap_is_no_report() {
+        let body = |leaf: &str, condition: &str| {
+            format!(
+                r#"{{"stack":"m-000001","format":"g","room":"a","tenure":1,"folio":1,"leaves":[
+                {{"leaf":"{leaf}","printing":1,"condition":"{condition}"}}]}}"#
+            )
+        };
+        assert!(report(body("job-000001/0", "running").as_bytes()).is_ok());
+        assert!(report(body("job-1/0", "running").as_bytes()).is_err());
+        assert!(report(body("job-000001/0", "dreaming").as_bytes()).is_err());
+        assert!(report(br#"{"stack":"m-000001","format":"g","room":"a","tenure":1,"folio":1}"#)
+            .is_err());
+    }
+}
--- /dev/null
+++ b/crates/basaltrail/src/driver.rs
@@ -0,0 +1,128 @@
+//! The loop round the core: inputs in, effects out. It decides nothing.
+
+use crate::clients::Http;
+use crate::server::{Ask, Door};
+use crate::settings::Process;
+use crate::{logging, peers, server};
+use basaltrail_core::*;
+use basaltrail_protocol::{frames, workers};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Requests that may wait for the loop.
+const QUEUE: usize = 512;
+const TICK: Duration = Duration::from_millis(50);
+
+struct Driver {
+    node: Node,
+    started: Instant,
+    waiting: HashMap<ReqId, oneshot::Sender<Answer>>,
+    http: Http,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    /// Answers of calls. The core bounds its calls in flight by the budgets.
+    answers: mpsc::UnboundedSender<Input>,
+    frame: watch::Sender<Vec<u8>>,
+    ready: Arc<AtomicBool>,
+}
+
+pub async fn run(settings: Process) -> std::io::Result<()> {
+    let listener = TcpListener::bind(settings.listen).await?;
+    let peer_listener = TcpListener::bind(settings.peer_listen).await?;
+    let (asks, mut from_door) = mpsc::channel(QUEUE);
+    let (answers, mut from_calls) = mpsc::unbounded_channel();
+    let (hints, mut from_peers) = mpsc::channel(4);
+    let (frame, newest) = watch::channel(Vec::new());
+    let ready = Arc::new(AtomicBool::new(false));
+    let door = Door { asks, ready: ready.clone(), next: Arc::new(AtomicU64::new(1)) };
+    // The rest is for our own calls and for connections that are being closed.
+    tokio::spawn(server::serve(listener, settings.max_connections * 3 / 4, door));
+    tokio::spawn(peers::listen(peer_listener, settings.max_connections / 16 + 4, hints));
+    for peer in &settings.peers {
+        tokio::spawn(peers::send(*peer, newest.clone()));
+    }
+    let seed = settings.core.incarnation;
+    let node = settings.core.node.clone();
+    let mut driver = Driver {
+        node: Node::new(Arc::new(settings.core), seed),
+        started: Instant::now(),
+        waiting: HashMap::new(),
+        http: Http::new(),
+        state: settings.state,
+        cloud: settings.cloud,
+        answers,
+        frame,
+        ready,
+    };
+    logging::event(Level::Info, "started", &format!("node={node} listen={}", settings.listen));
+    let mut tick = tokio::time::interval(TICK);
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let input = tokio::select! {
+            biased;
+            // Leases are extended by ticks and answers; they go before new requests.
+            _ = tick.tick() => Input::Tick,
+            Some(input) = from_calls.recv() => input,
+            Some(progress) = from_peers.recv() => Input::Peer { progress },
+            Some(Ask { req, input, answer }) = from_door.recv() => {
+                driver.waiting.insert(req, answer);
+                input
+            }
+        };
+        driver.step(input);
+    }
+}
+
+impl Driver {
+    fn step(&mut self, input: Input) {
+        let now = self.started.elapsed().as_millis() as Ms;
+        let wall =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as WallMs);
+        for effect in self.node.step(now, wall, input) {
+            self.carry_out(effect);
+        }
+        self.ready.store(self.node.ready(), Ordering::Relaxed);
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer { req, answer } => {
+                if let Some(to) = self.waiting.remove(&req) {
+                    // Its connection may be gone by now.
+                    let _ = to.send(answer);
+                }
+            }
+            Effect::State { op, call, timeout_ms } => {
+                let (http, to, answers) = (self.http.clone(), self.state, self.answers.clone());
+                tokio::spawn(async move {
+                    let reply = http.state(to, &call, timeout_ms).await;
+                    let _ = answers.send(Input::State { op, reply });
+                });
+            }
+            Effect::Cloud { op, call, timeout_ms } => {
+                let (http, to, answers) = (self.http.clone(), self.cloud, self.answers.clone());
+                tokio::spawn(async move {
+                    let reply = http.cloud(to, &call, timeout_ms).await;
+                    let _ = answers.send(Input::Cloud { op, reply });
+                });
+            }
+            Effect::Command { op, endpoint, token, session, orders, timeout_ms } => {
+                let (http, answers) = (self.http.clone(), self.answers.clone());
+                let body = workers::orders(token, Some(session), &orders);
+                tokio::spawn(async move {
+                    let report = http.command(&endpoint, body, timeout_ms).await;
+                    let _ = answers.send(Input::Worker { op, report });
+                });
+            }
+            Effect::Peers { progress } => {
+                self.frame.send_replace(frames::write(&progress));
+            }
+            Effect::Log { level, event, detail } => logging::event(level, event, &detail),
+        }
+    }
+}
--- /dev/null
+++ b/crates/basaltrail/src/policy.rs
@@ -0,0 +1,128 @@
+//! The operators' own settings, as S-expressions:
+//!
+//! ```text
+//! (policy
+//!   (leader-lease 0.5)
+//!   (weights (cataloguers 2) (buyers 1)))
+//! ```
+
+use crate::settings::Error;
+use basaltrail_core::{Policy, Settings};
+use lexpr::datum::Ref;
+use std::path::Path;
+
+pub fn load(path: &Path, settings: &Settings) -> Result<Policy, Error> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Error::File { file: file.clone(), why: e.to_string() })?;
+    parse(&file, &text, settings)
+}
+
+pub fn parse(file: &str, text: &str, settings: &Settings) -> Result<Policy, Error> {
+    let fail = |at: &Ref, why: String| Error::Line {
+        file: file.into(),
+        line: at.span().start().line(),
+        why,
+    };
+    let datum = lexpr::datum::from_str(text).map_err(|e| Error::Line {
+        file: file.into(),
+        line: e.location().map_or(1, |l| l.line()),
+        why: e.to_string(),
+    })?;
+    let top = datum.as_ref();
+    let entries = named(top).filter(|(name, _)| name == "policy");
+    let Some((_, entries)) = entries else {
+        return Err(fail(&top, "expected (policy (KEY VALUE) ...)".into()));
+    };
+    let mut policy = Policy::default();
+    let mut seen: Vec<String> = Vec::new();
+    for entry in entries {
+        let Some((key, args)) = named(entry) else {
+            return Err(fail(&entry, "expected (KEY VALUE)".into()));
+        };
+        if seen.contains(&key) {
+            return Err(fail(&entry, format!("{key} is set twice")));
+        }
+        let number = |low: f64, high: f64| match args.as_slice() {
+            [one] => {
+                one.value().as_f64().filter(|x| (low..=high).contains(x)).ok_or_else(|| {
+                    fail(one, format!("{key} must be a number from {low} to {high}"))
+                })
+            }
+            _ => Err(fail(&entry, format!("{key} takes one number"))),
+        };
+        match key.as_str() {
+            "leader-lease" => policy.leader_lease = number(0.1, 0.9)?,
+            "round-s" => policy.round_s = number(0.5, 3600.0)?,
+            "lease-term-s" => policy.lease_term_s = number(0.5, 86_400.0)?,
+            "headroom" => policy.headroom = number(0.0, 10.0)?,
+            "idle-s" => policy.idle_s = number(0.0, 86_400.0)?,
+            "sample" => policy.sample = number(1.0, 1e6)? as usize,
+            "weights" => {
+                for team in &args {
+                    let weight = named(*team).and_then(|(name, w)| match w.as_slice() {
+                        [one] => Some((name, one.value().as_f64()?)),
+                        _ => None,
+                    });
+                    let Some((name, w)) = weight.filter(|(_, w)| *w > 0.0 && w.is_finite()) else {
+                        return Err(fail(
+                            team,
+                            "expected (TEAM WEIGHT) with a weight above 0".into(),
+                        ));
+                    };
+                    if settings.team(&name).is_none() {
+                        return Err(fail(team, format!("no team {name:?} in the settings")));
+                    }
+                    policy.weights.push((name, w));
+                }
+            }
+            _ => return Err(fail(&entry, format!("unknown key {key:?}"))),
+        }
+        seen.push(key);
+    }
+    Ok(policy)
+}
+
+/// A list that begins with a name, and what follows the name.
+fn named(datum: Ref<'_>) -> Option<(String, Vec<Ref<'_>>)> {
+    let mut items = datum.list_iter()?;
+    let name = items.next()?.value().as_name()?.to_string();
+    Some((name, items.collect()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Policy, String> {
+        let s = crate::settings::tests::GOOD;
+        let settings = crate::settings::parse("s.toml", s).unwrap();
+        parse("p.sexp", text, &settings.core).map_err(|e| e.to_string())
+    }
+
+    #[test]
+    fn a_policy_is_read() {
+        let p =
+            read("; ours\n(policy (leader-lease 0.4)\n (sample 8) (weights (buyers 3)))").unwrap();
+        assert_eq!((p.leader_lease, p.sample), (0.4, 8));
+        assert_eq!(p.weights, [("buyers".to_string(), 3.0)]);
+        assert_eq!(read("(policy)").unwrap(), Policy::default());
+    }
+
+    #[test]
+    fn a_bad_policy_names_file_and_line() {
+        for (text, line, word) in [
+            ("(policy\n (sample 8)\n (smaple 9))", 3, "unknown key"),
+            ("(policy\n (leader-lease 2))", 2, "0.1 to 0.9"),
+            ("(policy\n\n (round-s soon))", 3, "number"),
+            ("(policy (sample 8)\n (sample 9))", 2, "twice"),
+            ("(policy (weights\n (nobody 1)))", 2, "no team"),
+            ("(policy (weights\n (buyers -1)))", 2, "above 0"),
+            ("(rules)", 1, "expected (policy"),
+            ("(policy\n (sample 8)", 2, ""),
+        ] {
+            let e = read(text).unwrap_err();
+            assert!(e.starts_with(&format!("p.sexp:{line}:")) && e.contains(word), "{text}: {e}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/basaltrail/src/server.rs
@@ -0,0 +1,196 @@
+//! The HTTP side towards users and workers.
+
+use basaltrail_core::{Answer, Input, ReqId};
+use basaltrail_protocol::{jobs, names, workers};
+use bytes::{Buf, Bytes};
+use futures_util::{Stream, StreamExt};
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use std::convert::Infallible;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, Semaphore};
+use warp::http::{Response, StatusCode};
+use warp::Filter;
+
+const BODY_MOST: usize = 64 * 1024;
+/// A request line or body that takes longer is given up.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A request for the core, and where its answer goes.
+pub struct Ask {
+    pub req: ReqId,
+    pub input: Input,
+    pub answer: oneshot::Sender<Answer>,
+}
+
+#[derive(Clone)]
+pub struct Door {
+    pub asks: mpsc::Sender<Ask>,
+    pub ready: Arc<AtomicBool>,
+    pub next: Arc<AtomicU64>,
+}
+
+type Reply = Response<String>;
+
+impl Door {
+    /// Hands a request to the core; a full queue is an answer of its own, at once.
+    async fn ask(&self, input: impl FnOnce(ReqId) -> Input) -> Answer {
+        let busy = Answer::Busy { retry_s: 1, why: "too many requests" };
+        let req = ReqId(self.next.fetch_add(1, Ordering::Relaxed));
+        let (answer, wait) = oneshot::channel();
+        if self.asks.try_send(Ask { req, input: input(req), answer }).is_err() {
+            return busy;
+        }
+        wait.await.unwrap_or(busy)
+    }
+}
+
+fn reply(status: u16, body: String, retry_s: Option<u32>) -> Reply {
+    let mut r = Response::new(body);
+    *r.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let h = r.headers_mut();
+    h.insert("content-type", warp::http::HeaderValue::from_static("application/json"));
+    if let Some(s) = retry_s {
+        h.insert("retry-after", warp::http::HeaderValue::from(s));
+    }
+    r
+}
+
+fn to_user(answer: &Answer) -> Reply {
+    let (status, body, retry) = jobs::answer(answer);
+    reply(status, body, retry)
+}
+
+/// Reads a body up to the limit.
+async fn body<B: Buf>(
+    stream: impl Stream<Item = Result<B, warp::Error>>,
+) -> Result<Bytes, &'static str> {
+    let mut stream = std::pin::pin!(stream);
+    let mut out = Vec::new();
+    let work = async {
+        while let Some(part) = stream.next().await {
+            let mut part = part.map_err(|_| "body cut short")?;
+            if out.len() + part.remaining() > BODY_MOST {
+                return Err("body over 64 KiB");
+            }
+            while part.has_remaining() {
+                let n = part.chunk().len();
+                out.extend_from_slice(part.chunk());
+                part.advance(n);
+            }
+        }
+        Ok(())
+    };
+    match tokio::time::timeout(PATIENCE, work).await {
+        Ok(Ok(())) => Ok(out.into()),
+        Ok(Err(why)) => Err(why),
+        Err(_) => Err("body too slow"),
+    }
+}
+
+async fn submit<B: Buf>(
+    stream: impl Stream<Item = Result<B, warp::Error>>,
+    door: Door,
+) -> Result<Reply, Infallible> {
+    let body = match body(stream).await {
+        Ok(b) => b,
+        Err(why) => return Ok(reply(400, jobs::error(why), None)),
+    };
+    Ok(match jobs::submission(&body) {
+        Ok((job, spec)) => {
+            let spec = Box::new(spec);
+            to_user(&door.ask(|req| Input::Submit { req, job, spec }).await)
+        }
+        Err(e) => reply(400, jobs::error(&e.to_string()), None),
+    })
+}
+
+async fn checkin<B: Buf>(
+    stream: impl Stream<Item = Result<B, warp::Error>>,
+    door: Door,
+) -> Result<Reply, Infallible> {
+    let report = match body(stream).await {
+        Ok(b) => workers::report(&b).map_err(|e| e.to_string()),
+        Err(why) => Err(why.to_string()),
+    };
+    let report = match report {
+        Ok(r) => Box::new(r),
+        Err(why) => {
+            tracing::info!("event=report_refused why={why}");
+            return Ok(reply(400, jobs::error(&why), None));
+        }
+    };
+    Ok(match door.ask(|req| Input::Checkin { req, report }).await {
+        Answer::Orders { token, orders } => reply(200, workers::orders(token, None, &orders), None),
+        Answer::Elsewhere { leader } => reply(421, workers::elsewhere(leader.as_deref()), None),
+        other => to_user(&other),
+    })
+}
+
+async fn about(id: String, door: Door, cancel: bool) -> Result<Reply, Infallible> {
+    let Some(job) = names::job(&id) else { return Ok(to_user(&Answer::NotFound)) };
+    let input = |req| match cancel {
+        true => Input::Cancel { req, job },
+        false => Input::Poll { req, job },
+    };
+    Ok(to_user(&door.ask(input).await))
+}
+
+fn routes(
+    door: Door,
+) -> impl Filter<Extract = (impl warp::Reply,), Error = warp::Rejection> + Clone {
+    let ready = door.ready.clone();
+    let with = warp::any().map(move || door.clone());
+    let checkin = warp::path!("checkin")
+        .and(warp::post())
+        .and(warp::body::stream())
+        .and(with.clone())
+        .and_then(checkin);
+    let poll = warp::path!("api" / "jobs" / String)
+        .and(warp::get())
+        .and(with.clone())
+        .and_then(|id, door| about(id, door, false));
+    let submit = warp::path!("api" / "jobs")
+        .and(warp::post())
+        .and(warp::body::stream())
+        .and(with.clone())
+        .and_then(submit);
+    let cancel = warp::path!("api" / "jobs" / String / "cancel")
+        .and(warp::post())
+        .and(with)
+        .and_then(|id, door| about(id, door, true));
+    let ready =
+        warp::path!("ready").and(warp::get()).map(move || match ready.load(Ordering::Relaxed) {
+            true => reply(200, "{}".into(), None),
+            false => reply(503, jobs::error("not ready"), Some(1)),
+        });
+    checkin.or(poll).unify().or(submit).unify().or(cancel).unify().or(ready).unify()
+}
+
+/// Serves until the process ends. Connections beyond the bound are closed at once.
+pub async fn serve(listener: TcpListener, most: usize, door: Door) {
+    let room = Arc::new(Semaphore::new(most));
+    let routes = routes(door);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(permit) = room.clone().try_acquire_owned() else { continue };
+        let _ = stream.set_nodelay(true);
+        let service = TowerToHyperService::new(warp::service(routes.clone()));
+        tokio::spawn(async move {
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(PATIENCE)
+                .max_buf_size(BODY_MOST)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/crates/basaltrail/src/settings.rs
@@ -0,0 +1,226 @@
+//! The settings file that the platform hands over.
+
+use basaltrail_core::{Objective, Policy, Settings, Team};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("{file}: {why}")]
+    File { file: String, why: String },
+    #[error("{file}:{line}: {why}")]
+    Line { file: String, line: usize, why: String },
+}
+
+/// Everything one process is set to.
+#[derive(Debug)]
+pub struct Process {
+    pub core: Settings,
+    pub listen: SocketAddr,
+    pub peer_listen: SocketAddr,
+    pub peers: Vec<SocketAddr>,
+    pub state: SocketAddr,
+    pub cloud: SocketAddr,
+    pub max_connections: usize,
+}
+
+#[derive(Deserialize)]
+struct File {
+    node_name: String,
+    zone: String,
+    listen: String,
+    peer_listen: String,
+    #[serde(default)]
+    members: Vec<Member>,
+    endpoints: Endpoints,
+    params: Params,
+}
+
+#[derive(Deserialize)]
+struct Member {
+    endpoint: String,
+}
+
+#[derive(Deserialize)]
+struct Endpoints {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct Params {
+    size: usize,
+    #[serde(default)]
+    zones: Vec<String>,
+    teams: Vec<TeamEntry>,
+    #[serde(default)]
+    objectives: Vec<ObjectiveEntry>,
+    workers: Workers,
+    state: State,
+    cloud: Cloud,
+    resources: Resources,
+}
+
+#[derive(Deserialize)]
+struct TeamEntry {
+    name: String,
+    cpus: f64,
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct ObjectiveEntry {
+    kind: String,
+    class: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Workers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct State {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct Cloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Resources {
+    mem_mb: f64,
+    max_connections: usize,
+}
+
+pub fn load(path: &Path) -> Result<Process, Error> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| Error::File { file: file.clone(), why: e.to_string() })?;
+    parse(&file, &text)
+}
+
+pub fn parse(file: &str, text: &str) -> Result<Process, Error> {
+    let fail = |why: String| Error::File { file: file.into(), why };
+    let f: File = toml::from_str(text).map_err(|e| {
+        let why = e.message().replace('\n', " ");
+        match e.span() {
+            Some(s) => {
+                let line = text[..s.start.min(text.len())].matches('\n').count() + 1;
+                Error::Line { file: file.into(), line, why }
+            }
+            None => fail(why),
+        }
+    })?;
+    let addr = |name: &str, a: &str| {
+        a.parse::<SocketAddr>().map_err(|_| fail(format!("{name} is not an address: {a:?}")))
+    };
+    let p = &f.params;
+    let positive = |name: &str, x: f64| {
+        let ok = x.is_finite() && x > 0.0 && x < 1e9;
+        ok.then_some(x).ok_or_else(|| fail(format!("params.{name} must be above 0")))
+    };
+    let ms = |name: &str, s: f64| positive(name, s).map(|s| (s * 1000.0).max(1.0) as u64);
+    let mut teams = Vec::new();
+    for t in &p.teams {
+        for x in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
+            if !x.is_finite() || x < 0.0 {
+                return Err(fail(format!("team {:?} has an amount below 0", t.name)));
+            }
+        }
+        if teams.iter().any(|o: &Team| o.name == t.name) {
+            return Err(fail(format!("team {:?} is named twice", t.name)));
+        }
+        teams.push(Team {
+            name: t.name.clone(),
+            cpus: t.cpus,
+            cpus_max: t.cpus_max,
+            gpus: t.gpus,
+            gpus_max: t.gpus_max,
+        });
+    }
+    if p.state.txn_ops < 2 {
+        return Err(fail("params.state.txn_ops must be 2 or more".into()));
+    }
+    let core = Settings {
+        node: f.node_name,
+        zone: f.zone,
+        nodes: p.size.max(f.members.len() + 1),
+        zones: p.zones.clone(),
+        teams,
+        objectives: p
+            .objectives
+            .iter()
+            .map(|o| Objective { kind: o.kind.clone(), class: o.class.clone() })
+            .collect(),
+        report_ms: ms("workers.report_s", p.workers.report_s)?,
+        lease_ms: ms("workers.lease_s", p.workers.lease_s)?,
+        cancel_ms: ms("workers.cancel_s", p.workers.cancel_s)?,
+        state_rps: positive("state.rps", p.state.rps)?,
+        write_rps: positive("state.write_rps", p.state.write_rps)?,
+        value_bytes: (positive("state.value_kb", p.state.value_kb)? * 1024.0) as usize,
+        txn_ops: p.state.txn_ops,
+        cloud_rps: positive("cloud.rps", p.cloud.rps)?,
+        list_lag_ms: (p.cloud.list_lag_s.clamp(0.0, 1e6) * 1000.0) as u64,
+        memory_mb: positive("resources.mem_mb", p.resources.mem_mb)?,
+        incarnation: SmallRng::from_os_rng().random(),
+        policy: Policy::default(),
+    };
+    let mut peers = Vec::new();
+    for m in &f.members {
+        peers.push(addr("members.endpoint", &m.endpoint)?);
+    }
+    Ok(Process {
+        core,
+        listen: addr("listen", &f.listen)?,
+        peer_listen: addr("peer_listen", &f.peer_listen)?,
+        peers,
+        state: addr("endpoints.state", &f.endpoints.state)?,
+        cloud: addr("endpoints.cloud", &f.endpoints.cloud)?,
+        max_connections: p.resources.max_connections.max(16),
+    })
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const GOOD: &str = include_str!("../tests/settings.toml");
+
+    #[test]
+    fn settings_are_read_and_unknown_fields_ignored() {
+        let p = parse("s.toml", &format!("later = 1\n{GOOD}")).unwrap();
+        assert_eq!(p.core.teams.len(), 2);
+        assert_eq!(p.core.lease_ms, 10_000);
+        assert_eq!(p.peers.len(), 2);
+    }
+
+    #[test]
+    fn bad_settings_say_where() {
+        let told = |from: &str, to: &str| {
+            let text = GOOD.replacen(from, to, 1);
+            assert_ne!(text, GOOD, "{from}");
+            parse("s.toml", &text).unwrap_err().to_string()
+        };
+        assert!(told("size = 3", "size = \"x\"").starts_with("s.toml:"));
+        assert!(told("127.0.0.1:7100", "nowhere").contains("listen"));
+        assert!(told("lease_s = 10.0", "lease_s = 0.0").contains("workers.lease_s"));
+        assert!(told("txn_ops = 24", "txn_ops = 0").contains("txn_ops"));
+        assert!(told("name = \"buyers\"", "name = \"cataloguers\"").contains("twice"));
+    }
+}
