--- a/crates/basaltrail-core/src/budget.rs
+++ b/crates/basaltrail-core/src/budget.rs
@@ -12,7 +12,7 @@
     Rest,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Bucket {
     rate: f64,
     burst: f64,
@@ -21,16 +21,12 @@
 }
 
 impl Bucket {
-    pub fn new(rate: f64) -> Self {
-        let burst = rate.max(1.0);
-        Bucket { rate, burst, level: burst, at: 0 }
-    }
-
     /// A new share; what was saved up beyond it is lost.
     pub fn set_rate(&mut self, rate: f64) {
+        let first = self.rate == 0.0;
         self.rate = rate;
         self.burst = rate.max(1.0);
-        self.level = self.level.min(self.burst);
+        self.level = if first { self.burst } else { self.level.min(self.burst) };
     }
 
     /// Takes `n` if that leaves the share of the classes above.
@@ -51,9 +47,4 @@
         }
         enough
     }
-
-    /// The service said we went too fast.
-    pub fn drain(&mut self) {
-        self.level = self.level.min(0.0);
-    }
 }
--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -30,6 +30,7 @@
     Probe { token: Token, machine: MachineId },
 }
 
+#[derive(Default)]
 pub struct Calls {
     ops: HashMap<OpId, Purpose>,
     next: u64,
@@ -40,17 +41,6 @@
 }
 
 impl Calls {
-    pub fn new() -> Self {
-        Calls {
-            ops: HashMap::new(),
-            next: 0,
-            state: Bucket::new(1.0),
-            writes: Bucket::new(1.0),
-            cloud: Bucket::new(1.0),
-            out: Vec::new(),
-        }
-    }
-
     pub fn take(&mut self, op: OpId) -> Option<Purpose> {
         self.ops.remove(&op)
     }
--- a/crates/basaltrail-core/src/frontdoor.rs
+++ b/crates/basaltrail-core/src/frontdoor.rs
@@ -23,6 +23,9 @@
     pub kind: Kind,
 }
 
+/// A job and those who wait for word of it.
+pub type Waiting = (JobId, Vec<Ask>);
+
 pub struct NewJob {
     pub job: JobId,
     pub spec: Box<JobSpec>,
@@ -37,7 +40,7 @@
     pub checks_in_flight: u32,
     pub submits: Vec<NewJob>,
     pub submits_in_flight: u32,
-    pub reads: Vec<(JobId, Vec<Ask>)>,
+    pub reads: Vec<Waiting>,
     /// Asks anywhere in here, for the bound.
     pub waiting: usize,
     /// What the leader last told of running tasks; for display only.
@@ -66,12 +69,12 @@
         self.checks.entry(job).or_default().push(ask);
     }
 
-    /// Up to `most` jobs, with the conditions that confirm what we hold.
+    /// As many jobs as the conditions allow, and the conditions that confirm what we hold.
     pub fn take_checks(
         &mut self,
         table: &Table,
         conditions: usize,
-    ) -> (Vec<(JobId, Vec<Ask>)>, Vec<(String, u64)>) {
+    ) -> (Vec<Waiting>, Vec<(String, u64)>) {
         let mut jobs = Vec::new();
         let mut conds = Vec::new();
         while conds.len() + 2 <= conditions {
--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -56,7 +56,7 @@
             now: 0,
             wall: 0,
             rng: SmallRng::seed_from_u64(seed),
-            calls: Calls::new(),
+            calls: Calls::default(),
             election: Election::new(&cfg.node, cfg.incarnation, ttl, cfg.at_most(ttl)),
             table: Table::new((cfg.memory_mb * ENDS_PER_MB).max(1000.0) as usize),
             door: FrontDoor::default(),
--- a/crates/basaltrail-core/src/placement.rs
+++ b/crates/basaltrail-core/src/placement.rs
@@ -62,17 +62,25 @@
     }
 }
 
-/// Picks a machine for up to `want` tasks; gives its place in `rooms` and how many fit.
+/// One job's wish in a pass of placement.
+pub struct Wish<'a> {
+    pub job: &'a JobSpec,
+    pub spread: &'a Spread,
+    /// Tasks to be placed at the most.
+    pub want: u32,
+}
+
+/// Picks a machine for a wish; gives its place in `rooms` and how many tasks fit.
+/// With more than `sample` machines, that many are looked at before all are.
 pub fn choose<R: Rng>(
     rooms: &[Room],
     types: &[MachineType],
-    job: &JobSpec,
-    spread: &Spread,
-    want: u32,
+    wish: &Wish,
     sample: usize,
     has_image: impl Fn(&MachineId) -> bool,
     rng: &mut R,
 ) -> Option<(usize, u32)> {
+    let Wish { job, spread, want } = *wish;
     let consider = |i: usize| -> Option<(f64, usize, u32)> {
         let r = &rooms[i];
         if r.spot && !job.spot || !types[r.type_index].allowed(job) {
--- a/crates/basaltrail-core/src/records.rs
+++ b/crates/basaltrail-core/src/records.rs
@@ -132,7 +132,7 @@
 
     /// Adds a part written by [`Bits::part`]; false if it cannot be one.
     pub fn add_part(&mut self, part: u32, text: &str) -> bool {
-        if text.len() % 16 != 0 || text.len() > PART as usize / 4 || !text.is_ascii() {
+        if !text.len().is_multiple_of(16) || text.len() > PART as usize / 4 || !text.is_ascii() {
             return false;
         }
         for (i, chunk) in text.as_bytes().chunks(16).enumerate() {
--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -8,7 +8,7 @@
 use crate::io::*;
 use crate::jobs::{RunJob, Table};
 use crate::model::*;
-use crate::placement::{choose, Room, Spread};
+use crate::placement::{choose, Room, Spread, Wish};
 use crate::records::*;
 use crate::rental::{Kind, Rental, Request};
 use crate::settings::Settings;
@@ -57,6 +57,9 @@
 /// Orders in one response, to stay under the line limit.
 const ORDERS_MOST: usize = 200;
 
+/// A task that may be stopped for others: by priority, youngest first.
+type Victim = (Priority, Ms, MachineId, (TaskId, Attempt), Need);
+
 pub struct Reign {
     pub token: Token,
     pub stamp: u64,
@@ -82,6 +85,8 @@
     attempts: u32,
     changed: bool,
     next_place: Ms,
+    /// Jobs for which others were stopped: the room that comes free is theirs first.
+    reserved: BTreeMap<JobId, Ms>,
     rental: Rental,
     returned: VecDeque<MachineId>,
     /// Jobs that workers told of and the table does not hold.
@@ -116,6 +121,7 @@
             attempts: 0,
             changed: true,
             next_place: 0,
+            reserved: BTreeMap::new(),
             rental: Rental::default(),
             returned: VecDeque::new(),
             unknown: BTreeSet::new(),
@@ -640,8 +646,12 @@
                 put(key, value, &mut f, &mut conds);
             }
         }
-        if self.ledger_due && ops < most && !self.refresh.contains_key(LEDGER) {
-            if paid(1.0, Class::Completion) {
+        if self.ledger_due
+            && ops < most
+            && !self.refresh.contains_key(LEDGER)
+            && paid(1.0, Class::Completion)
+        {
+            {
                 ops += 1;
                 self.ledger_due = false;
                 f.ledger = true;
@@ -947,7 +957,6 @@
         self.changed = false;
         self.next_place = ctx.now + ctx.cfg.report_ms / 20;
         self.accrue(ctx);
-        let term = ctx.cfg.policy.lease_term_s;
         let all_accounted = self.machines.values().all(|m| m.accounted);
         let mut used = self.usage(ctx);
         let mut rooms: Vec<Room> = Vec::new();
@@ -981,30 +990,56 @@
             }
         }
         let mut blocked: Vec<JobId> = Vec::new();
+        // Were the room cleared for a job given by degree, those who were stopped would
+        // take it back, and be stopped again.
+        self.reserved.retain(|_, until| *until > ctx.now);
+        let reserved: Vec<JobId> = self.reserved.keys().copied().collect();
+        for id in reserved {
+            let Some(team) = self.jobs.get(&id).map(|j| j.team) else { continue };
+            while waiting[team].contains(&id) {
+                if !self.grant_one(ctx, id, &mut rooms, &mut used, rng) {
+                    break;
+                }
+                if self.jobs.get(&id).is_none_or(|j| j.pending() == 0) {
+                    waiting[team].retain(|j| *j != id);
+                    self.reserved.remove(&id);
+                }
+            }
+        }
         while let Some(team) =
             (0..waiting.len()).filter(|t| !waiting[*t].is_empty()).min_by(|a, b| {
                 self.ledger.teams[*a].degree().total_cmp(&self.ledger.teams[*b].degree())
             })
         {
             let Some(id) = self.select(ctx, &waiting[team]) else { break };
-            let granted = self.grant(ctx, id, &mut rooms, &mut used, rng);
-            if granted == 0 {
+            if !self.grant_one(ctx, id, &mut rooms, &mut used, rng) {
                 waiting[team].retain(|j| *j != id);
                 blocked.push(id);
-                continue;
-            }
-            let Some(j) = self.jobs.get_mut(&id) else { break };
-            let cost = granted as f64 * j.spec.cpus * term;
-            j.account.granted += cost;
-            j.started = true;
-            self.ledger.teams[team].granted += cost;
-            if j.pending() == 0 {
+            } else if self.jobs.get(&id).is_none_or(|j| j.pending() == 0) {
                 waiting[team].retain(|j| *j != id);
             }
         }
         self.preempt(ctx, calls, &blocked, &used, &rooms);
     }
 
+    /// Grants on one machine and notes it in the ledger; false if nothing fits.
+    fn grant_one(
+        &mut self,
+        ctx: &Ctx,
+        id: JobId,
+        rooms: &mut Vec<Room>,
+        used: &mut [(f64, f64)],
+        rng: &mut SmallRng,
+    ) -> bool {
+        let granted = self.grant(ctx, id, rooms, used, rng);
+        let Some(j) = self.jobs.get_mut(&id).filter(|_| granted > 0) else { return false };
+        let cost = granted as f64 * j.spec.cpus * ctx.cfg.policy.lease_term_s;
+        j.account.granted += cost;
+        j.started = true;
+        self.ledger.teams[j.team].granted += cost;
+        true
+    }
+
     /// Within a team: a new job first, else the one with the lowest degree.
     fn select(&self, _ctx: &Ctx, ids: &[JobId]) -> Option<JobId> {
         ids.iter()
@@ -1050,8 +1085,8 @@
         let machines = &self.machines;
         let image = |m: &MachineId| machines.get(m).is_some_and(|m| m.has_image(&j.spec.image));
         let sample = ctx.cfg.policy.sample;
-        let Some((at, n)) = choose(rooms, ctx.types, &j.spec, &spread, want, sample, image, rng)
-        else {
+        let wish = Wish { job: &j.spec, spread: &spread, want };
+        let Some((at, n)) = choose(rooms, ctx.types, &wish, sample, image, rng) else {
             return 0;
         };
         let machine = rooms[at].machine.clone();
@@ -1127,7 +1162,7 @@
             want -= from_coming;
             let mut guarantee = (team.cpus - used[j.team].0).max(0.0);
             // Checkpointing work only: what cannot save would lose all it has done.
-            let mut victims: Vec<(Priority, Ms, MachineId, (TaskId, Attempt), Need)> = Vec::new();
+            let mut victims: Vec<Victim> = Vec::new();
             if want > 1e-9 {
                 for m in self.machines.values().filter(|m| self.usable(ctx, m)) {
                     for (key, e) in &m.entries {
@@ -1140,6 +1175,7 @@
                 }
                 victims.sort_by(|a, b| (a.0, a.1, &a.2, a.3).cmp(&(b.0, b.1, &b.2, b.3)));
             }
+            let mut cleared = false;
             for (priority, _, machine, key, n) in victims {
                 if want <= 1e-9 {
                     break;
@@ -1164,6 +1200,10 @@
                 guarantee -= n.cpus;
                 *freed.entry(n.team).or_default() += n.cpus;
                 stopped += 1;
+                cleared = true;
+            }
+            if cleared {
+                self.reserved.insert(*id, ctx.now + ctx.cfg.lease_ms);
             }
         }
         if stopped > 0 {
