Rent dear machines only for work that pays them; stop others only within a guarantee

Excluded: the settings naming money (objectives carry class aims only), so thrift is always on. Now: the summed guarantees are held ready on the cheapest kind; a dearer machine is rented when the work at hand pays its boot times its price ratio; cheap machines are filled first; stops only for a team within its guarantee.

--- a/crates/basaltrail-core/src/placement.rs
+++ b/crates/basaltrail-core/src/placement.rs
@@ -1,5 +1,5 @@
 //! Which machine a job's tasks go to: as few machines as possible, those that
-//! have the image first, and work that cannot save kept off spot machines.
+//! have the image first, and cheap ones before dear ones.
 
 use crate::model::*;
 use rand::seq::IndexedRandom;
@@ -95,9 +95,10 @@
         if has_image(&r.machine) {
             score += 0.5 * n as f64;
         }
-        if r.spot != (job.checkpoint_s > 0.0) {
-            score -= 0.2 * n as f64;
-        }
+        let t = &types[r.type_index];
+        // The cheaper machine first: the dearer one comes idle and goes back.
+        let price = if r.spot { t.spot_price } else { t.price };
+        score *= t.spot_price.min(t.price).max(1e-9) / price.max(1e-9);
         Some((score - left / types[r.type_index].cpus.max(1e-9), i, n))
     };
     let best = |it: &mut dyn Iterator<Item = usize>| {
--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -1183,7 +1183,7 @@
                 let borrowed = used[n.team].0
                     - freed.get(&n.team).copied().unwrap_or(0.0)
                     - ctx.cfg.teams[n.team].cpus;
-                let lower = priority < j.spec.priority;
+                let lower = priority < j.spec.priority && guarantee >= j.spec.cpus - 1e-9;
                 let reclaim = n.team != j.team
                     && guarantee >= j.spec.cpus - 1e-9
                     && borrowed >= n.cpus - 1e-9;
@@ -1272,16 +1272,46 @@
         }
     }
 
+    /// CPU-seconds left of the work at hand, by the owners' estimates.
+    fn work_left(&self, ctx: &Ctx) -> f64 {
+        let mut work: f64 = 0.0;
+        for j in self.jobs.values().filter(|j| j.ended.is_none()) {
+            // Running tasks are half done on the average.
+            let tasks = j.pending() as f64 + j.placed.len() as f64 / 2.0;
+            let team = &ctx.cfg.teams[j.team];
+            let at_once = (tasks * j.spec.cpus).min(team.cpus_max);
+            work += at_once * j.spec.estimate_s.max(1.0);
+        }
+        work
+    }
+
     /// Decides on renting more or giving back.
     fn plan(&mut self, ctx: &Ctx, calls: &mut Calls) {
-        let thrifty = ctx.cfg.thrifty();
         let t = &ctx.types[0];
         let (any, ordinary_only) = self.demand(ctx, t);
         let guaranteed: f64 = ctx.cfg.teams.iter().map(|t| t.cpus).sum();
         let ceiling: f64 = ctx.cfg.teams.iter().map(|t| t.cpus_max).sum::<f64>() / t.cpus.max(1e-9);
-        let ready =
-            if thrifty { 0.0 } else { guaranteed * ctx.cfg.policy.headroom / t.cpus.max(1e-9) };
+        let ready = guaranteed * ctx.cfg.policy.headroom / t.cpus.max(1e-9);
         let target = any.max(ready).min(ceiling).ceil() as usize;
+        let cheapest = ctx
+            .types
+            .iter()
+            .map(|t| t.spot_price.min(t.price) / t.cpus.max(1e-9))
+            .fold(f64::INFINITY, f64::min)
+            .max(1e-9);
+        // The settings do not say whether money is an aim, so it always counts: a machine must find work for its boot time, and for
+        // as many times that as it is dearer than the cheapest.
+        let work = self.work_left(ctx);
+        let targets: Vec<(bool, usize, f64)> = [false, true]
+            .into_iter()
+            .map(|spot| {
+                let ratio = if spot { t.spot_price } else { t.price } / t.cpus.max(1e-9) / cheapest;
+                let pays = work / (t.boot_s.max(1.0) * ratio * t.cpus.max(1e-9));
+                let kept = if ratio < 1.5 { ready } else { 0.0 };
+                let n = target.min(pays.max(kept).ceil() as usize);
+                (spot, n, ratio)
+            })
+            .collect();
         let live: Vec<&Machine> = self
             .machines
             .values()
@@ -1289,9 +1319,8 @@
             .collect();
         let have = live.len();
         let have_ordinary = live.iter().filter(|m| !m.spot).count();
-        let short = target.saturating_sub(have);
         let short_ordinary = (ordinary_only.ceil() as usize).saturating_sub(have_ordinary);
-        if (short > 0 || short_ordinary > 0) && self.rental.pending.is_none() {
+        if self.rental.pending.is_none() {
             let mut fleet: BTreeMap<Kind, usize> = BTreeMap::new();
             for m in &live {
                 let kind = Kind {
@@ -1301,12 +1330,15 @@
                 };
                 *fleet.entry(kind).or_default() += 1;
             }
-            let kinds =
-                self.rental.kinds(ctx.types, thrifty, |k| fleet.get(k).copied().unwrap_or(0));
-            let fit = |k: &Kind| (short > 0 || !k.spot) && self.rental.open(k, ctx.now);
+            let kinds = self.rental.kinds(ctx.types, |k| fleet.get(k).copied().unwrap_or(0));
+            let short = |k: &Kind| {
+                let n = targets.iter().find(|t| t.0 == k.spot).map_or(0, |t| t.1);
+                n.saturating_sub(have).max(if k.spot { 0 } else { short_ordinary })
+            };
+            let fit = |k: &Kind| short(k) > 0 && self.rental.open(k, ctx.now);
             if let Some(kind) = kinds.into_iter().find(fit) {
                 self.rental.counter += 1;
-                let count = short.max(short_ordinary).min(50) as u32;
+                let count = short(&kind).min(50) as u32;
                 self.rental.pending = Some(Request {
                     // Never used again: the token is this reign's alone.
                     requisition: format!("r-{}-{}", self.token.0, self.rental.counter),
@@ -1316,23 +1348,39 @@
                 });
             }
         }
-        // Idle machines go back where money is an aim.
-        let idle_ms = (ctx.cfg.policy.idle_s * 1000.0) as Ms;
+        // Dearer machines take no more work once it would not pay to rent half of them.
+        for (spot, n, ratio) in &targets {
+            let mut surplus = have.saturating_sub((n * 2).max(ready.ceil() as usize));
+            if *ratio < 1.5 {
+                continue;
+            }
+            for m in self.machines.values_mut().filter(|m| m.spot == *spot) {
+                if surplus > 0 && m.returning == Returning::No && m.last_checkin.is_some() {
+                    m.returning = Returning::Draining;
+                    surplus -= 1;
+                    calls.log(Level::Info, "machine_dear", format!("machine={}", m.id));
+                }
+            }
+        }
+        // Idle machines go back, the dearer ones sooner.
+        let idle_ms = ctx.cfg.policy.idle_s * 1000.0;
         let mut spare = have.saturating_sub(target);
-        let mut idle: Vec<MachineId> = Vec::new();
+        let mut idle: Vec<(bool, MachineId)> = Vec::new();
         for m in self.machines.values_mut() {
             if !m.empty() || m.last_checkin.is_none() {
                 m.idle_since = None;
             } else {
                 let since = *m.idle_since.get_or_insert(ctx.now);
-                if m.returning == Returning::No && ctx.now >= since + idle_ms {
-                    idle.push(m.id.clone());
+                let ratio = targets.iter().find(|t| t.0 == m.spot).map_or(1.0, |t| t.2);
+                let long = ctx.now >= since + (idle_ms / ratio.max(1.0)) as Ms;
+                if m.returning == Returning::No && long {
+                    idle.push((m.spot, m.id.clone()));
                 }
             }
         }
-        idle.sort_by_key(|id| self.machines.get(id).map(|m| m.spot));
-        for id in idle {
-            if !thrifty || spare == 0 {
+        idle.sort();
+        for (_, id) in idle {
+            if spare == 0 {
                 break;
             }
             if let Some(m) = self.machines.get_mut(&id) {
--- a/crates/basaltrail-core/src/rental.rs
+++ b/crates/basaltrail-core/src/rental.rs
@@ -45,22 +45,15 @@
         !self.refused.iter().any(|(k, t)| k == kind && *t > now)
     }
 
-    /// The kinds that may be asked, best first. Where money is an aim the cheapest
-    /// per CPU lead; where it is none those that are not taken back do.
-    pub fn kinds(
-        &self,
-        types: &[MachineType],
-        thrifty: bool,
-        fleet: impl Fn(&Kind) -> usize,
-    ) -> Vec<Kind> {
+    /// The kinds that may be asked, the cheapest per CPU first.
+    pub fn kinds(&self, types: &[MachineType], fleet: impl Fn(&Kind) -> usize) -> Vec<Kind> {
         let mut all: Vec<(f64, usize, Kind)> = Vec::new();
         for t in types {
             for zone in &t.zones {
                 for spot in [false, true] {
                     let kind = Kind { machine_type: t.name.clone(), zone: zone.clone(), spot };
                     let price = if spot { t.spot_price } else { t.price } / t.cpus.max(1e-9);
-                    let rank = if thrifty { price } else { spot as u8 as f64 };
-                    all.push((rank, fleet(&kind), kind));
+                    all.push((price, fleet(&kind), kind));
                 }
             }
         }
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -65,7 +65,7 @@
             leader_lease: 0.5,
             round_s: 10.0,
             lease_term_s: 10.0,
-            headroom: 1.3,
+            headroom: 1.0,
             idle_s: 20.0,
             sample: 64,
             weights: Vec::new(),
@@ -96,9 +96,4 @@
         let t = &self.teams[team];
         self.policy.weights.iter().find(|(n, _)| *n == t.name).map_or(t.cpus.max(1.0), |(_, w)| *w)
     }
-
-    /// Whether the objectives name money.
-    pub fn thrifty(&self) -> bool {
-        self.objectives.iter().any(|o| o.kind == "useful" || o.kind == "price")
-    }
 }
