--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -1040,18 +1040,33 @@
         true
     }
 
-    /// Within a team: a new job first, else the one with the lowest degree.
-    fn select(&self, _ctx: &Ctx, ids: &[JobId]) -> Option<JobId> {
+    /// Within a team: jobs that can still be in time for an objective, the one with the
+    /// least time to lose first; then the others, by degree.
+    fn select(&self, ctx: &Ctx, ids: &[JobId]) -> Option<JobId> {
+        let rank = |j: &RunJob| {
+            let age = (ctx.wall - j.at) as f64 / 1000.0;
+            let spare = ctx
+                .cfg
+                .wanted_s(&j.spec)
+                .map(|due| due - age - j.spec.estimate_s)
+                .filter(|spare| *spare > -0.3 * j.spec.estimate_s)
+                .fold(f64::INFINITY, f64::min);
+            (spare.is_infinite(), spare)
+        };
         ids.iter()
             .filter_map(|id| self.jobs.get(id))
-            .min_by(|a, b| {
-                a.started
-                    .cmp(&b.started)
-                    .then(b.spec.priority.cmp(&a.spec.priority))
+            .map(|j| (rank(j), j))
+            .min_by(|(ra, a), (rb, b)| {
+                b.spec
+                    .priority
+                    .cmp(&a.spec.priority)
+                    .then(ra.0.cmp(&rb.0))
+                    .then(ra.1.total_cmp(&rb.1))
+                    .then(a.started.cmp(&b.started))
                     .then(a.account.degree().total_cmp(&b.account.degree()))
                     .then(a.at.cmp(&b.at))
             })
-            .map(|j| j.id)
+            .map(|(_, j)| j.id)
     }
 
     /// Places tasks of one job on one machine; gives how many.
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -1,6 +1,6 @@
 //! What the platform and the operator set. Constants elsewhere are ratios to these.
 
-use crate::model::Ms;
+use crate::model::{JobSpec, Ms};
 
 #[derive(Clone, Debug)]
 pub struct Team {
@@ -11,10 +11,13 @@
     pub gpus_max: f64,
 }
 
+/// When a job of a class should be complete.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Objective {
-    pub kind: String,
-    pub class: Option<String>,
+pub enum Objective {
+    /// By so many times its own deadline.
+    Deadline { class: String, times: f64 },
+    /// Within so many seconds of its submission.
+    Finished { class: String, within_s: f64 },
 }
 
 #[derive(Clone, Debug)]
@@ -92,6 +95,17 @@
         self.teams.iter().position(|t| t.name == name)
     }
 
+    /// The times, in seconds from submission, by which the objectives want a job done.
+    pub fn wanted_s<'a>(&'a self, job: &'a JobSpec) -> impl Iterator<Item = f64> + 'a {
+        self.objectives.iter().filter_map(|o| match o {
+            Objective::Deadline { class, times } if *class == job.class => {
+                job.deadline_s.map(|d| d * times)
+            }
+            Objective::Finished { class, within_s } if *class == job.class => Some(*within_s),
+            _ => None,
+        })
+    }
+
     pub fn weight(&self, team: usize) -> f64 {
         let t = &self.teams[team];
         self.policy.weights.iter().find(|(n, _)| *n == t.name).map_or(t.cpus.max(1.0), |(_, w)| *w)
--- a/crates/basaltrail/src/settings.rs
+++ b/crates/basaltrail/src/settings.rs
@@ -79,6 +79,20 @@
 struct ObjectiveEntry {
     kind: String,
     class: Option<String>,
+    times: Option<f64>,
+    within_s: Option<f64>,
+}
+
+impl ObjectiveEntry {
+    /// Kinds that are not about a class's jobs, or not known, ask nothing of placement.
+    fn read(&self) -> Option<Objective> {
+        let class = self.class.clone()?;
+        match self.kind.as_str() {
+            "deadline" => Some(Objective::Deadline { class, times: self.times.unwrap_or(1.0) }),
+            "finished" => Some(Objective::Finished { class, within_s: self.within_s? }),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -163,11 +177,7 @@
         nodes: p.size.max(f.members.len() + 1),
         zones: p.zones.clone(),
         teams,
-        objectives: p
-            .objectives
-            .iter()
-            .map(|o| Objective { kind: o.kind.clone(), class: o.class.clone() })
-            .collect(),
+        objectives: p.objectives.iter().filter_map(ObjectiveEntry::read).collect(),
         report_ms: ms("workers.report_s", p.workers.report_s)?,
         lease_ms: ms("workers.lease_s", p.workers.lease_s)?,
         cancel_ms: ms("workers.cancel_s", p.workers.cancel_s)?,
