--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -73,6 +73,7 @@
     loaded_done: BTreeMap<JobId, Vec<(u32, String)>>,
     ledger: Ledger,
     round_ends: Ms,
+    fleet_cpus: f64,
     ledger_due: bool,
     roster: Vec<Vec<RosterEntry>>,
     roster_dirty: BTreeSet<usize>,
@@ -109,6 +110,7 @@
             loaded_done: BTreeMap::new(),
             ledger: Ledger::new(ctx.cfg, None, ctx.now),
             round_ends: ctx.now,
+            fleet_cpus: 0.0,
             ledger_due: false,
             roster: Vec::new(),
             roster_dirty: BTreeSet::new(),
@@ -956,7 +958,7 @@
         }
         self.changed = false;
         self.next_place = ctx.now + ctx.cfg.report_ms / 20;
-        self.accrue(ctx);
+        self.fleet_cpus = self.accrue(ctx);
         let all_accounted = self.machines.values().all(|m| m.accounted);
         let mut used = self.usage(ctx);
         let mut rooms: Vec<Room> = Vec::new();
@@ -1051,7 +1053,9 @@
                 .map(|due| due - age - j.spec.estimate_s)
                 .filter(|spare| *spare > -0.3 * j.spec.estimate_s)
                 .fold(f64::INFINITY, f64::min);
-            (spare.is_infinite(), spare)
+            let work = j.pending() as f64 * j.spec.cpus * j.spec.estimate_s;
+            let quota = Ledger::quota(ctx.cfg, j.team, self.fleet_cpus).max(1.0);
+            (spare.is_infinite(), spare + 3.0 * work / quota)
         };
         ids.iter()
             .filter_map(|id| self.jobs.get(id))
