--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -1202,7 +1202,8 @@
                 let borrowed = used[n.team].0
                     - freed.get(&n.team).copied().unwrap_or(0.0)
                     - ctx.cfg.teams[n.team].cpus;
-                let lower = priority < j.spec.priority && guarantee >= j.spec.cpus - 1e-9;
+                let lower = priority < j.spec.priority
+                    && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9);
                 let reclaim = n.team != j.team
                     && guarantee >= j.spec.cpus - 1e-9
                     && borrowed >= n.cpus - 1e-9;
