--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -44,6 +44,17 @@
     ledger: bool,
 }
 
+/// Seconds a job can still lose and be in time for the nearest objective in reach;
+/// None if none is. Estimates are often wrong, so a little overdue still counts.
+fn spare_s(ctx: &Ctx, j: &RunJob) -> Option<f64> {
+    let age = (ctx.wall - j.at) as f64 / 1000.0;
+    ctx.cfg
+        .wanted_s(&j.spec)
+        .map(|due| due - age - j.spec.estimate_s)
+        .filter(|spare| *spare > -0.3 * j.spec.estimate_s)
+        .min_by(f64::total_cmp)
+}
+
 /// What the reply to a flush asks of the node.
 #[derive(Default)]
 pub struct Flushed {
@@ -57,8 +68,9 @@
 /// Orders in one response, to stay under the line limit.
 const ORDERS_MOST: usize = 200;
 
-/// A task that may be stopped for others: by priority, youngest first.
-type Victim = (Priority, Ms, MachineId, (TaskId, Attempt), Need);
+/// A task that may be stopped for others: by priority, then those with the most time
+/// to lose or none to win, youngest first.
+type Victim = (Priority, i64, Ms, MachineId, (TaskId, Attempt), Need);
 
 pub struct Reign {
     pub token: Token,
@@ -1046,16 +1058,10 @@
     /// least time to lose first; then the others, by degree.
     fn select(&self, ctx: &Ctx, ids: &[JobId]) -> Option<JobId> {
         let rank = |j: &RunJob| {
-            let age = (ctx.wall - j.at) as f64 / 1000.0;
-            let spare = ctx
-                .cfg
-                .wanted_s(&j.spec)
-                .map(|due| due - age - j.spec.estimate_s)
-                .filter(|spare| *spare > -0.3 * j.spec.estimate_s)
-                .fold(f64::INFINITY, f64::min);
+            let spare = spare_s(ctx, j);
             let work = j.pending() as f64 * j.spec.cpus * j.spec.estimate_s;
             let quota = Ledger::quota(ctx.cfg, j.team, self.fleet_cpus).max(1.0);
-            (spare.is_infinite(), spare + 3.0 * work / quota)
+            (spare.is_none(), spare.unwrap_or(0.0) + 3.0 * work / quota)
         };
         ids.iter()
             .filter_map(|id| self.jobs.get(id))
@@ -1189,13 +1195,15 @@
                         if !e.runs() || e.stop.is_some() {
                             continue;
                         }
-                        victims.push((n.priority, Ms::MAX - e.since, m.id.clone(), *key, n));
+                        let spare = self.jobs.get(&key.0.job).and_then(|j| spare_s(ctx, j));
+                        let rank = spare.map_or(i64::MIN, |s| -s as i64 / 30);
+                        victims.push((n.priority, rank, Ms::MAX - e.since, m.id.clone(), *key, n));
                     }
                 }
-                victims.sort_by(|a, b| (a.0, a.1, &a.2, a.3).cmp(&(b.0, b.1, &b.2, b.3)));
+                victims.sort_by(|a, b| (a.0, a.1, a.2, &a.3, a.4).cmp(&(b.0, b.1, b.2, &b.3, b.4)));
             }
             let mut cleared = false;
-            for (priority, _, machine, key, n) in victims {
+            for (priority, _, _, machine, key, n) in victims {
                 if want <= 1e-9 {
                     break;
                 }
@@ -1203,7 +1211,8 @@
                     - freed.get(&n.team).copied().unwrap_or(0.0)
                     - ctx.cfg.teams[n.team].cpus;
                 let lower = priority < j.spec.priority
-                    && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9);
+                    && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9)
+                    && spare_s(ctx, j).is_some();
                 let reclaim = n.team != j.team
                     && guarantee >= j.spec.cpus - 1e-9
                     && borrowed >= n.cpus - 1e-9;
