--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -27,7 +27,6 @@
     Rent { token: Token },
     Release { token: Token, machines: Vec<MachineId> },
     List { token: Token },
-    Probe { token: Token, machine: MachineId },
 }
 
 #[derive(Default)]
@@ -63,20 +62,6 @@
         self.out.push(Effect::Cloud { op, call, timeout_ms });
     }
 
-    pub fn command(
-        &mut self,
-        purpose: Purpose,
-        endpoint: &str,
-        token: Token,
-        session: u64,
-        timeout_ms: Ms,
-    ) {
-        let op = self.note(purpose);
-        let endpoint = endpoint.into();
-        let orders = Vec::new();
-        self.out.push(Effect::Command { op, endpoint, token, session, orders, timeout_ms });
-    }
-
     pub fn pay(&mut self, now: Ms, class: Class) -> bool {
         self.state.take(now, 1.0, class)
     }
--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -73,14 +73,6 @@
     },
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    Checkin,
-    /// The body of an answer to a direct command: it may have been made while a
-    /// start was still on its way.
-    Direct,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Returning {
     No,
@@ -216,8 +208,9 @@
         r.session >= self.min_session && (r.session, r.seq) > (self.session, self.seq)
     }
 
-    /// Takes a newer report.
-    pub fn report(&mut self, now: Ms, r: &Report, origin: Origin, token: Token) -> Vec<Change> {
+    /// Takes a newer report, one that a worker sent by itself: the bodies of answers to
+    /// direct commands may be made while a start is still on its way, and settle nothing.
+    pub fn report(&mut self, now: Ms, r: &Report, token: Token) -> Vec<Change> {
         let mut changes = Vec::new();
         if r.session > self.session && self.session > 0 {
             changes = self.drop_all();
@@ -228,11 +221,9 @@
         self.session = r.session;
         self.seq = r.seq;
         self.endpoint.clone_from(&r.endpoint);
-        if origin == Origin::Checkin {
-            self.last_checkin = Some(now);
-            self.renewed = now;
-            self.lapsed = false;
-        }
+        self.last_checkin = Some(now);
+        self.renewed = now;
+        self.lapsed = false;
         self.gone_at = r.notice_s.map(|s| now + (s.clamp(0.0, 1e6) * 1000.0) as Ms);
         if r.token >= token {
             self.accounted = true;
@@ -247,9 +238,7 @@
                 Place::Assigned { .. } => false,
                 // A later report of the same session, made after the response with
                 // the start was taken or dropped, shows that the start was lost.
-                Place::Sent { session, seq } => {
-                    origin == Origin::Checkin && (r.session, r.seq) > (session, seq)
-                }
+                Place::Sent { session, seq } => (r.session, r.seq) > (session, seq),
                 Place::Told(_) => true,
             };
             if gone && !e.settled {
--- a/crates/basaltrail-core/src/io.rs
+++ b/crates/basaltrail-core/src/io.rs
@@ -119,11 +119,6 @@
         op: OpId,
         reply: CloudReply,
     },
-    /// The body of a direct command's answer, or nothing.
-    Worker {
-        op: OpId,
-        report: Option<Box<Report>>,
-    },
     /// Progress told by a peer that believes it leads; for display only.
     Peer {
         progress: Vec<Progress>,
@@ -168,34 +163,9 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    Answer {
-        req: ReqId,
-        answer: Answer,
-    },
-    State {
-        op: OpId,
-        call: StateOp,
-        timeout_ms: u64,
-    },
-    Cloud {
-        op: OpId,
-        call: CloudOp,
-        timeout_ms: u64,
-    },
-    Command {
-        op: OpId,
-        endpoint: String,
-        token: Token,
-        session: u64,
-        orders: Vec<Order>,
-        timeout_ms: u64,
-    },
-    Peers {
-        progress: Vec<Progress>,
-    },
-    Log {
-        level: Level,
-        event: &'static str,
-        detail: String,
-    },
+    Answer { req: ReqId, answer: Answer },
+    State { op: OpId, call: StateOp, timeout_ms: u64 },
+    Cloud { op: OpId, call: CloudOp, timeout_ms: u64 },
+    Peers { progress: Vec<Progress> },
+    Log { level: Level, event: &'static str, detail: String },
 }
--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -98,18 +98,6 @@
             Input::Checkin { req, report } => self.checkin(req, &report),
             Input::State { op, reply } => self.state_reply(op, reply),
             Input::Cloud { op, reply } => self.cloud_reply(op, reply),
-            Input::Worker { op, report } => {
-                if let Some(Purpose::Probe { token, machine }) = self.calls.take(op) {
-                    let report = report.filter(|r| r.machine == machine);
-                    if let Some(r) = report {
-                        self.with_reign(|reign, ctx, calls, _| {
-                            if reign.token == token {
-                                reign.direct(ctx, calls, &r);
-                            }
-                        });
-                    }
-                }
-            }
             Input::Peer { progress } => {
                 if self.reign.is_none() {
                     let known = |p: &&Progress| self.table.active.contains_key(&p.job);
--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -44,6 +44,26 @@
     ledger: bool,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Demand {
+    machines: f64,
+    work: f64,
+}
+
+/// What is wanted of one type, as ordinary or as spot machines.
+struct Want {
+    name: String,
+    spot: bool,
+    /// Its price per CPU over the cheapest.
+    ratio: f64,
+    /// Machines of the type to be held for the guarantees, in all.
+    ready: usize,
+    /// Machines of the type that could be used now, in all.
+    target: usize,
+    /// Machines of the type up to which this kind pays.
+    most: usize,
+}
+
 /// Seconds a job can still lose and be in time for the nearest objective in reach;
 /// None if none is. Estimates are often wrong, so a little overdue still counts.
 fn spare_s(ctx: &Ctx, j: &RunJob) -> Option<f64> {
@@ -63,6 +83,12 @@
     pub read: Vec<JobId>,
 }
 
+/// A kind of machine this many times as dear as the cheapest is not kept ready.
+const DEAR: f64 = 1.5;
+/// Failures in a row after which a machine gets no more work.
+const FAULTY: u32 = 4;
+/// The cloud takes no larger rental.
+const RENT_MOST: usize = 50;
 /// Machines returned lately; their late reports are not taken for new machines.
 const RETURNED_KEPT: usize = 512;
 /// Orders in one response, to stay under the line limit.
@@ -452,7 +478,7 @@
             return busy("late report");
         }
         let first = m.last_checkin.is_none();
-        let changes = m.report(ctx.now, r, Origin::Checkin, self.token);
+        let changes = m.report(ctx.now, r, self.token);
         if first {
             self.changed = true;
             let age = ctx.now - m.known_since;
@@ -472,13 +498,6 @@
         Answer::Orders { token: self.token, orders: self.orders(ctx, &r.machine) }
     }
 
-    /// A report that came as the body of a direct command's answer.
-    pub fn direct(&mut self, ctx: &Ctx, calls: &mut Calls, r: &Report) {
-        let Some(m) = self.machines.get_mut(&r.machine).filter(|m| m.is_newer(r)) else { return };
-        let changes = m.report(ctx.now, r, Origin::Direct, self.token);
-        self.apply(ctx, calls, &r.machine, changes);
-    }
-
     fn note_images(&mut self, ctx: &Ctx, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         let cache = ctx.types.iter().find(|t| t.name == m.machine_type).map_or(0.0, |t| t.cache_gb);
@@ -904,7 +923,7 @@
             && !m.lapsed
             && m.returning == Returning::No
             && !m.notice(ctx.now)
-            && m.faults < 4
+            && m.faults < FAULTY
             && ctx.now >= m.no_room_until
             && m.last_checkin.is_some_and(|t| ctx.now <= t + ctx.cfg.report_ms * 2)
     }
@@ -1242,26 +1261,57 @@
 
     // ---- the cloud ----
 
-    /// CPUs that the work at hand could use now, in machines of the given type.
-    fn demand(&self, ctx: &Ctx, t: &MachineType) -> (f64, f64) {
-        let mut any = 0.0;
-        let mut ordinary_only = 0.0;
+    /// What the work at hand asks of each type: machines that it could use now, and
+    /// CPU-seconds left by the owners' estimates. A job counts for the type that runs
+    /// its tasks at the least price.
+    fn demand(&self, ctx: &Ctx) -> Vec<Demand> {
+        let mut out = vec![Demand::default(); ctx.types.len()];
         let mut left: Vec<f64> = ctx.cfg.teams.iter().map(|t| t.cpus_max).collect();
         for j in self.jobs.values().filter(|j| j.ended.is_none()) {
-            let holds = t.holds(&j.spec);
-            if holds == 0 || !t.allowed(&j.spec) {
+            let price = |t: &MachineType| t.price / t.holds(&j.spec) as f64;
+            let fit = ctx.types.iter().enumerate();
+            let fit = fit.filter(|(_, t)| t.allowed(&j.spec) && t.holds(&j.spec) > 0);
+            let Some((i, t)) = fit.min_by(|a, b| price(a.1).total_cmp(&price(b.1))) else {
                 continue;
-            }
+            };
             let open = j.spec.tasks.saturating_sub(j.done.count());
             let n = open.min(fits(left[j.team], j.spec.cpus));
             left[j.team] -= n as f64 * j.spec.cpus;
-            let machines = n as f64 / holds as f64;
-            any += machines;
-            if !j.spec.spot {
-                ordinary_only += machines;
+            out[i].machines += n as f64 / t.holds(&j.spec) as f64;
+            // Running tasks are half done on the average.
+            let tasks = j.pending() as f64 + j.placed.len() as f64 / 2.0;
+            let cpus = (tasks * j.spec.cpus).min(ctx.cfg.teams[j.team].cpus_max);
+            out[i].work += cpus * j.spec.estimate_s.max(1.0);
+        }
+        out
+    }
+
+    /// Machines of this kind that jobs with wishes of their own still lack: few
+    /// machines may be of a type, zone and kind that such a job allows.
+    fn lacking(&self, ctx: &Ctx, live: &[&Machine], kind: &Kind) -> usize {
+        let Some(i) = Self::type_index(ctx.types, &kind.machine_type) else { return 0 };
+        let t = &ctx.types[i];
+        let wishes = |s: &JobSpec| !s.spot || s.zone.is_some() || s.types.is_some();
+        let fits_kind = |s: &JobSpec, ty: &MachineType, zone: &str, spot: bool| {
+            (s.spot || !spot)
+                && s.zone.as_deref().is_none_or(|z| z == zone)
+                && ty.allowed(s)
+                && ty.holds(s) > 0
+        };
+        let mut most = 0;
+        for j in self.jobs.values().filter(|j| j.pending() > 0 && wishes(&j.spec)) {
+            if !fits_kind(&j.spec, t, &kind.zone, kind.spot) {
+                continue;
             }
+            let open = j.spec.tasks.saturating_sub(j.done.count());
+            let need = open.div_ceil(t.holds(&j.spec)) as usize;
+            let ok = |m: &&&Machine| {
+                Self::type_index(ctx.types, &m.machine_type)
+                    .is_some_and(|i| fits_kind(&j.spec, &ctx.types[i], &m.zone, m.spot))
+            };
+            most = most.max(need.saturating_sub(live.iter().filter(ok).count()));
         }
-        (any, ordinary_only)
+        most
     }
 
     fn cloud(&mut self, ctx: &Ctx, calls: &mut Calls) {
@@ -1301,121 +1351,100 @@
         }
     }
 
-    /// CPU-seconds left of the work at hand, by the owners' estimates.
-    fn work_left(&self, ctx: &Ctx) -> f64 {
-        let mut work: f64 = 0.0;
-        for j in self.jobs.values().filter(|j| j.ended.is_none()) {
-            // Running tasks are half done on the average.
-            let tasks = j.pending() as f64 + j.placed.len() as f64 / 2.0;
-            let team = &ctx.cfg.teams[j.team];
-            let at_once = (tasks * j.spec.cpus).min(team.cpus_max);
-            work += at_once * j.spec.estimate_s.max(1.0);
-        }
-        work
-    }
-
-    /// Decides on renting more or giving back.
+    /// Decides on renting more or giving back. The settings do not say whether money
+    /// is an aim, so it always counts: the summed guarantees are held ready on the
+    /// cheapest machines, and a dearer one must find work for its boot time, as many
+    /// times as it is dearer.
     fn plan(&mut self, ctx: &Ctx, calls: &mut Calls) {
-        let t = &ctx.types[0];
-        let (any, ordinary_only) = self.demand(ctx, t);
+        let per_cpu = |t: &MachineType, spot: bool| {
+            let price = if spot { t.spot_price.min(t.price) } else { t.price };
+            price / t.cpus.max(1e-9)
+        };
+        let all = ctx.types.iter().enumerate();
+        let Some((cheap, _)) = all.min_by(|a, b| per_cpu(a.1, true).total_cmp(&per_cpu(b.1, true)))
+        else {
+            return;
+        };
+        let cheapest = per_cpu(&ctx.types[cheap], true).max(1e-9);
         let guaranteed: f64 = ctx.cfg.teams.iter().map(|t| t.cpus).sum();
-        let ceiling: f64 = ctx.cfg.teams.iter().map(|t| t.cpus_max).sum::<f64>() / t.cpus.max(1e-9);
-        let ready = guaranteed * ctx.cfg.policy.headroom / t.cpus.max(1e-9);
-        let target = any.max(ready).min(ceiling).ceil() as usize;
-        let cheapest = ctx
-            .types
-            .iter()
-            .map(|t| t.spot_price.min(t.price) / t.cpus.max(1e-9))
-            .fold(f64::INFINITY, f64::min)
-            .max(1e-9);
-        // The settings do not say whether money is an aim, so it always counts: a machine must find work for its boot time, and for
-        // as many times that as it is dearer than the cheapest.
-        let work = self.work_left(ctx);
-        let targets: Vec<(bool, usize, f64)> = [false, true]
-            .into_iter()
-            .map(|spot| {
-                let ratio = if spot { t.spot_price } else { t.price } / t.cpus.max(1e-9) / cheapest;
-                let pays = work / (t.boot_s.max(1.0) * ratio * t.cpus.max(1e-9));
-                let kept = if ratio < 1.5 { ready } else { 0.0 };
-                let n = target.min(pays.max(kept).ceil() as usize);
-                (spot, n, ratio)
-            })
-            .collect();
+        let limits: f64 = ctx.cfg.teams.iter().map(|t| t.cpus_max).sum();
+        let mut wants: Vec<Want> = Vec::new();
+        for (i, (d, t)) in self.demand(ctx).iter().zip(ctx.types).enumerate() {
+            let cpus = t.cpus.max(1e-9);
+            let ready = if i == cheap { guaranteed * ctx.cfg.policy.headroom / cpus } else { 0.0 };
+            let target = d.machines.max(ready).min(limits / cpus).ceil() as usize;
+            for spot in [false, true] {
+                let ratio = (per_cpu(t, spot) / cheapest).max(1.0);
+                let pays = d.work / (t.boot_s.max(1.0) * ratio * cpus);
+                let kept = if ratio < DEAR { ready } else { 0.0 };
+                let most = target.min(pays.max(kept).ceil() as usize);
+                let name = t.name.clone();
+                let ready = ready.ceil() as usize;
+                wants.push(Want { name, spot, ratio, ready, target, most });
+            }
+        }
         let live: Vec<&Machine> = self
             .machines
             .values()
-            .filter(|m| m.returning == Returning::No && !m.notice(ctx.now) && m.faults < 4)
+            .filter(|m| m.returning == Returning::No && !m.notice(ctx.now) && m.faults < FAULTY)
             .collect();
-        let have = live.len();
-        let have_ordinary = live.iter().filter(|m| !m.spot).count();
-        let short_ordinary = (ordinary_only.ceil() as usize).saturating_sub(have_ordinary);
+        let mut have: BTreeMap<String, usize> = BTreeMap::new();
+        let mut fleet: BTreeMap<Kind, usize> = BTreeMap::new();
+        for m in &live {
+            *have.entry(m.machine_type.clone()).or_default() += 1;
+            let (machine_type, zone) = (m.machine_type.clone(), m.zone.clone());
+            *fleet.entry(Kind { machine_type, zone, spot: m.spot }).or_default() += 1;
+        }
+        let count = |name: &str| have.get(name).copied().unwrap_or(0);
         if self.rental.pending.is_none() {
-            let mut fleet: BTreeMap<Kind, usize> = BTreeMap::new();
-            for m in &live {
-                let kind = Kind {
-                    machine_type: m.machine_type.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                };
-                *fleet.entry(kind).or_default() += 1;
-            }
             let kinds = self.rental.kinds(ctx.types, |k| fleet.get(k).copied().unwrap_or(0));
             let short = |k: &Kind| {
-                let n = targets.iter().find(|t| t.0 == k.spot).map_or(0, |t| t.1);
-                n.saturating_sub(have).max(if k.spot { 0 } else { short_ordinary })
+                let want = wants.iter().find(|w| w.name == k.machine_type && w.spot == k.spot);
+                let most = want.map_or(0, |w| w.most);
+                most.saturating_sub(count(&k.machine_type)).max(self.lacking(ctx, &live, k))
             };
-            let fit = |k: &Kind| short(k) > 0 && self.rental.open(k, ctx.now);
-            if let Some(kind) = kinds.into_iter().find(fit) {
+            let open = kinds.into_iter().filter(|k| self.rental.open(k, ctx.now));
+            if let Some((kind, n)) =
+                open.map(|k| (short(&k), k)).find(|(n, _)| *n > 0).map(|(n, k)| (k, n))
+            {
                 self.rental.counter += 1;
-                let count = short(&kind).min(50) as u32;
                 self.rental.pending = Some(Request {
                     // Never used again: the token is this reign's alone.
                     requisition: format!("r-{}-{}", self.token.0, self.rental.counter),
                     kind,
-                    count,
+                    count: n.min(RENT_MOST) as u32,
                     tries: 0,
                 });
             }
         }
-        // Dearer machines take no more work once it would not pay to rent half of them.
-        for (spot, n, ratio) in &targets {
-            let mut surplus = have.saturating_sub((n * 2).max(ready.ceil() as usize));
-            if *ratio < 1.5 {
-                continue;
-            }
-            for m in self.machines.values_mut().filter(|m| m.spot == *spot) {
-                if surplus > 0 && m.returning == Returning::No && m.last_checkin.is_some() {
-                    m.returning = Returning::Draining;
-                    surplus -= 1;
-                    calls.log(Level::Info, "machine_dear", format!("machine={}", m.id));
-                }
-            }
-        }
-        // Idle machines go back, the dearer ones sooner.
-        let idle_ms = ctx.cfg.policy.idle_s * 1000.0;
-        let mut spare = have.saturating_sub(target);
-        let mut idle: Vec<(bool, MachineId)> = Vec::new();
-        for m in self.machines.values_mut() {
-            if !m.empty() || m.last_checkin.is_none() {
-                m.idle_since = None;
-            } else {
-                let since = *m.idle_since.get_or_insert(ctx.now);
-                let ratio = targets.iter().find(|t| t.0 == m.spot).map_or(1.0, |t| t.2);
-                let long = ctx.now >= since + (idle_ms / ratio.max(1.0)) as Ms;
-                if m.returning == Returning::No && long {
-                    idle.push((m.spot, m.id.clone()));
+        for w in &wants {
+            // Dearer machines take no more work once renting half of them would not pay.
+            let mut surplus = match w.ratio >= DEAR {
+                true => count(&w.name).saturating_sub((w.most * 2).max(w.ready)),
+                false => 0,
+            };
+            // Idle machines go back, the dearer ones first and sooner.
+            let mut spare = count(&w.name).saturating_sub(w.target);
+            let idle_ms = (ctx.cfg.policy.idle_s * 1000.0 / w.ratio) as Ms;
+            let ours = |m: &&mut Machine| m.machine_type == w.name && m.spot == w.spot;
+            for m in self.machines.values_mut().filter(ours) {
+                if !m.empty() || m.last_checkin.is_none() {
+                    m.idle_since = None;
                 }
-            }
-        }
-        idle.sort();
-        for (_, id) in idle {
-            if spare == 0 {
-                break;
-            }
-            if let Some(m) = self.machines.get_mut(&id) {
+                let up = m.last_checkin.is_some() && m.returning == Returning::No;
+                let idle =
+                    up && m.empty() && ctx.now >= *m.idle_since.get_or_insert(ctx.now) + idle_ms;
+                let why = if idle && spare > 0 {
+                    "idle"
+                } else if up && surplus > 0 {
+                    "dear"
+                } else {
+                    continue;
+                };
+                spare = spare.saturating_sub(1);
+                surplus = surplus.saturating_sub(1);
                 m.returning = Returning::Draining;
-                spare -= 1;
-                calls.log(Level::Info, "machine_idle", format!("machine={id}"));
+                calls.log(Level::Info, "machine_drain", format!("machine={} why={why}", m.id));
             }
         }
     }
@@ -1438,7 +1467,7 @@
             let cut = silent_zones.contains(&m.zone);
             let why = if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
                 "drained"
-            } else if up && m.faults >= 4 && m.empty() {
+            } else if up && m.faults >= FAULTY && m.empty() {
                 "faulty"
             } else if up || !m.accounted {
                 continue;
--- a/crates/basaltrail-protocol/src/workers.rs
+++ b/crates/basaltrail-protocol/src/workers.rs
@@ -87,8 +87,6 @@
 #[derive(Serialize)]
 struct OrdersBody {
     warrant: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    tenure: Option<u64>,
     orders: Vec<OrderBody>,
 }
 
@@ -98,8 +96,8 @@
     steward: Option<&'a str>,
 }
 
-/// The body of a response to a report, or, with a session, of a direct command.
-pub fn orders(token: Token, session: Option<u64>, orders: &[Order]) -> String {
+/// The body of a response to a report.
+pub fn orders(token: Token, orders: &[Order]) -> String {
     let orders = orders
         .iter()
         .map(|o| {
@@ -111,8 +109,7 @@
             OrderBody { order, leaf: names::task_name(task), printing: attempt.0, grace_s }
         })
         .collect();
-    serde_json::to_string(&OrdersBody { warrant: token.0, tenure: session, orders })
-        .unwrap_or_default()
+    serde_json::to_string(&OrdersBody { warrant: token.0, orders }).unwrap_or_default()
 }
 
 pub fn elsewhere(leader: Option<&str>) -> String {
@@ -137,7 +134,6 @@
         let t = r.tasks[0].task;
         let body = orders(
             Token(41),
-            None,
             &[
                 Order::Start { task: t, attempt: Attempt(2) },
                 Order::Stop { task: t, attempt: Attempt(2), grace_s: 10.0 },
--- a/crates/basaltrail/src/clients.rs
+++ b/crates/basaltrail/src/clients.rs
@@ -1,7 +1,7 @@
-//! Calls to the state service, the cloud and workers, over kept connections.
+//! Calls to the state service and the cloud, over kept connections.
 
-use basaltrail_core::{CloudOp, CloudReply, Report, StateOp, StateReply};
-use basaltrail_protocol::{cloud, state, workers};
+use basaltrail_core::{CloudOp, CloudReply, StateOp, StateReply};
+use basaltrail_protocol::{cloud, state};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -72,12 +72,4 @@
             CloudReply::Failed
         })
     }
-
-    pub async fn command(&self, to: &str, body: String, timeout_ms: u64) -> Option<Box<Report>> {
-        let (status, body) = self.call(to, "POST", "/do", body, timeout_ms).await?;
-        if status != 200 && status != 409 {
-            return None;
-        }
-        workers::report(&body).ok().map(Box::new)
-    }
 }
--- a/crates/basaltrail/src/driver.rs
+++ b/crates/basaltrail/src/driver.rs
@@ -5,7 +5,7 @@
 use crate::settings::Process;
 use crate::{logging, peers, server};
 use basaltrail_core::*;
-use basaltrail_protocol::{frames, workers};
+use basaltrail_protocol::frames;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -111,14 +111,6 @@
                     let _ = answers.send(Input::Cloud { op, reply });
                 });
             }
-            Effect::Command { op, endpoint, token, session, orders, timeout_ms } => {
-                let (http, answers) = (self.http.clone(), self.answers.clone());
-                let body = workers::orders(token, Some(session), &orders);
-                tokio::spawn(async move {
-                    let report = http.command(&endpoint, body, timeout_ms).await;
-                    let _ = answers.send(Input::Worker { op, report });
-                });
-            }
             Effect::Peers { progress } => {
                 self.frame.send_replace(frames::write(&progress));
             }
--- a/crates/basaltrail/src/server.rs
+++ b/crates/basaltrail/src/server.rs
@@ -125,7 +125,7 @@
         }
     };
     Ok(match door.ask(|req| Input::Checkin { req, report }).await {
-        Answer::Orders { token, orders } => reply(200, workers::orders(token, None, &orders), None),
+        Answer::Orders { token, orders } => reply(200, workers::orders(token, &orders), None),
         Answer::Elsewhere { leader } => reply(421, workers::elsewhere(leader.as_deref()), None),
         other => to_user(&other),
     })
