--- a/crates/basaltrail-core/src/election.rs
+++ b/crates/basaltrail-core/src/election.rs
@@ -20,6 +20,7 @@
     holder: Option<Holder>,
     term: Token,
     term_stamp: u64,
+    home: Option<String>,
     revision: u64,
 }
 
@@ -100,6 +101,11 @@
         self.lead().is_some_and(|l| now < l.right_until)
     }
 
+    /// The zone that a leader had better be in, as the last one left word.
+    pub fn home(&self) -> Option<&str> {
+        self.view.as_ref()?.home.as_deref()
+    }
+
     /// The node that is believed to lead; a hint.
     pub fn leader_hint(&self) -> Option<&str> {
         self.view.as_ref()?.holder.as_ref().map(|h| h.record.node.as_str())
@@ -178,6 +184,8 @@
                 v.term = decode(&i.value).unwrap_or_default();
                 v.term_stamp = i.stamp;
             }
+        } else if key == HOME {
+            v.home = item.and_then(|i| decode(&i.value));
         }
         let holder = v.holder.clone();
         if let (Role::Leading(l), Some(h)) = (&self.role, holder) {
--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -134,7 +134,12 @@
     fn pump(&mut self) {
         self.shares();
         // The jitter keeps the nodes that saw a leader go from all asking at once.
-        let jitter = self.rng.random_range(0..self.cfg.leader_lease_ms() / 25 + 1);
+        let mut jitter = self.rng.random_range(0..self.cfg.leader_lease_ms() / 25 + 1);
+        // A cut between zones costs a leader the machines of the others: let those
+        // where most machines are go first.
+        if self.election.home().unwrap_or(self.cfg.busiest_zone()) != self.cfg.zone {
+            jitter += self.cfg.leader_lease_ms() / 8;
+        }
         for (call, op, timeout) in self.election.calls(self.now, jitter) {
             // Leases come first; they are few.
             self.calls.pay(self.now, Class::Lease);
--- a/crates/basaltrail-core/src/records.rs
+++ b/crates/basaltrail-core/src/records.rs
@@ -6,6 +6,8 @@
 pub const CONTROL: &str = "c/";
 pub const LEADER: &str = "c/leader";
 pub const TERM: &str = "c/term";
+/// The zone with the most machines; the next leader had better be there.
+pub const HOME: &str = "c/home";
 pub const JOBS: &str = "j/";
 pub const ACTIVE: &str = "j/a/";
 pub const FINAL: &str = "j/t/";
--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -42,6 +42,7 @@
     roster: Vec<(usize, Vec<MachineId>)>,
     cleaned: Vec<(JobId, u32)>,
     ledger: bool,
+    home: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -113,6 +114,11 @@
     round_ends: Ms,
     fleet_cpus: f64,
     ledger_due: bool,
+    home: Option<String>,
+    home_due: bool,
+    /// Zones that were cut off of late, and until when they count as such.
+    cut_until: BTreeMap<String, Ms>,
+    surplus_since: Option<Ms>,
     roster: Vec<Vec<RosterEntry>>,
     roster_dirty: BTreeSet<usize>,
     stamps: HashMap<String, u64>,
@@ -150,6 +156,10 @@
             round_ends: ctx.now,
             fleet_cpus: 0.0,
             ledger_due: false,
+            home: None,
+            home_due: false,
+            cut_until: BTreeMap::new(),
+            surplus_since: None,
             roster: Vec::new(),
             roster_dirty: BTreeSet::new(),
             stamps: HashMap::new(),
@@ -694,6 +704,13 @@
                 put(LEDGER.into(), value, &mut f, &mut conds);
             }
         }
+        if self.home_due && ops < most && !self.refresh.contains_key(HOME) && paid(1.0, Class::Rest)
+        {
+            ops += 1;
+            self.home_due = false;
+            f.home = true;
+            put(HOME.into(), encode(&self.home), &mut f, &mut conds);
+        }
         if now >= self.next_parts {
             let mut left = false;
             for (id, j) in self.jobs.iter_mut() {
@@ -762,6 +779,7 @@
         self.roster_dirty.extend(f.roster.into_iter().map(|(p, _)| p));
         self.cleanup.extend(f.cleaned);
         self.ledger_due |= f.ledger;
+        self.home_due |= f.home;
         self.next_parts = self.next_parts.min(ctx.now + ctx.cfg.report_ms / 4);
     }
 
@@ -864,6 +882,8 @@
                 j.account.granted = 0.0;
             }
             self.ledger_due = true;
+            self.note_home();
+            self.log_round(calls);
             self.changed = true;
         }
         if self.changed && ctx.entitled {
@@ -873,6 +893,36 @@
         self.cloud(ctx, calls);
     }
 
+    /// One line a round: how the machines are used.
+    fn log_round(&self, calls: &mut Calls) {
+        let mut count = [0usize; 3];
+        for m in self.machines.values() {
+            let up = m.last_checkin.is_some() && !m.lapsed;
+            count[if up { m.spot as usize } else { 2 }] += 1;
+        }
+        let mut cpus = [0.0f64; 4];
+        for e in self.machines.values().flat_map(|m| m.entries.values()) {
+            let n = e.need.map_or(0.0, |n| n.cpus);
+            let i = match e.place {
+                Place::Assigned { .. } | Place::Sent { .. } => 0,
+                Place::Told(TaskState::Fetching) => 1,
+                Place::Told(TaskState::Running) => 2,
+                Place::Told(TaskState::Saving) => 3,
+                Place::Told(TaskState::Exited(_)) => continue,
+            };
+            cpus[i] += n;
+        }
+        let waiting: f64 = self.jobs.values().map(|j| j.pending() as f64 * j.spec.cpus).sum();
+        calls.log(
+            Level::Debug,
+            "round",
+            format!(
+                "ordinary={} spot={} down={} sent={} fetching={} running={} saving={} waiting={waiting}",
+                count[0], count[1], count[2], cpus[0], cpus[1], cpus[2], cpus[3]
+            ),
+        );
+    }
+
     /// Ended jobs whose tasks are all gone need no account any more.
     fn finish_jobs(&mut self) {
         let mut over: Vec<JobId> =
@@ -1403,7 +1453,10 @@
                 let most = want.map_or(0, |w| w.most);
                 most.saturating_sub(count(&k.machine_type)).max(self.lacking(ctx, &live, k))
             };
-            let open = kinds.into_iter().filter(|k| self.rental.open(k, ctx.now));
+            // What is rented beyond a cut cannot be reached.
+            let open = kinds
+                .into_iter()
+                .filter(|k| self.rental.open(k, ctx.now) && !self.cut_until.contains_key(&k.zone));
             if let Some((kind, n)) =
                 open.map(|k| (short(&k), k)).find(|(n, _)| *n > 0).map(|(n, k)| (k, n))
             {
@@ -1417,12 +1470,29 @@
                 });
             }
         }
+        let dear = |w: &Want| {
+            let spare = count(&w.name).saturating_sub((w.most * 2).max(w.ready));
+            if w.ratio >= DEAR {
+                spare
+            } else {
+                0
+            }
+        };
+        // Work comes in waves: only what was too much for longer than a machine takes
+        // to find work for its boot goes back.
+        let since = match wants.iter().any(|w| dear(w) > 0) {
+            true => *self.surplus_since.get_or_insert(ctx.now),
+            false => {
+                self.surplus_since = None;
+                ctx.now
+            }
+        };
         for w in &wants {
             // Dearer machines take no more work once renting half of them would not pay.
-            let mut surplus = match w.ratio >= DEAR {
-                true => count(&w.name).saturating_sub((w.most * 2).max(w.ready)),
-                false => 0,
-            };
+            let boot_ms =
+                ctx.types.iter().find(|t| t.name == w.name).map_or(0.0, |t| t.boot_s) * 1000.0;
+            let lasting = (ctx.now - since) as f64 >= boot_ms;
+            let mut surplus = if lasting { dear(w) } else { 0 };
             // Idle machines go back, the dearer ones first and sooner.
             let mut spare = count(&w.name).saturating_sub(w.target);
             let idle_ms = (ctx.cfg.policy.idle_s * 1000.0 / w.ratio) as Ms;
@@ -1456,7 +1526,7 @@
         }
         let boot_ms = ctx.types.iter().map(|t| t.boot_s).fold(1.0, f64::max) * 1000.0;
         let lag = ctx.cfg.list_lag_ms;
-        let silent_zones = self.silent_zones();
+        self.note_cuts(ctx);
         let mut go = Vec::new();
         for m in self.machines.values_mut() {
             let age = ctx.now - m.known_since;
@@ -1464,7 +1534,7 @@
             let failed = matches!(m.listed, Some((ListedState::Failed, _)));
             let up = m.last_checkin.is_some() && !m.lapsed;
             let silence = ctx.now - m.last_checkin.unwrap_or(m.known_since);
-            let cut = silent_zones.contains(&m.zone);
+            let cut = self.cut_until.contains_key(&m.zone);
             let why = if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
                 "drained"
             } else if up && m.faults >= FAULTY && m.empty() {
@@ -1505,15 +1575,34 @@
         calls.cloud(purpose, CloudOp::Release(go), timeout);
     }
 
-    /// Zones most of whose machines went silent: cut off rather than broken.
-    fn silent_zones(&self) -> BTreeSet<String> {
+    /// Zones most of whose machines went silent: cut off rather than broken. They
+    /// count as such for a while after, since their machines come back one by one.
+    fn note_cuts(&mut self, ctx: &Ctx) {
         let mut count: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| m.last_checkin.is_some() || !m.durable) {
+        for m in self.machines.values().filter(|m| m.last_checkin.is_some()) {
             let c = count.entry(&m.zone).or_default();
             c.0 += 1;
             c.1 += m.lapsed as usize;
         }
-        count.into_iter().filter(|(_, (n, l))| *l * 2 > *n).map(|(z, _)| z.to_string()).collect()
+        for (zone, (n, lapsed)) in count {
+            if n > 2 && lapsed * 2 > n {
+                self.cut_until.insert(zone.to_string(), ctx.now + ctx.cfg.lease_ms);
+            }
+        }
+        self.cut_until.retain(|_, until| *until > ctx.now);
+    }
+
+    /// Leaves word of the zone with the most machines.
+    fn note_home(&mut self) {
+        let mut count: BTreeMap<&str, usize> = BTreeMap::new();
+        for m in self.machines.values() {
+            *count.entry(&m.zone).or_default() += 1;
+        }
+        let home = count.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string());
+        if home.is_some() && home != self.home {
+            self.home = home;
+            self.home_due = true;
+        }
     }
 
     pub fn rent_answer(&mut self, ctx: &Ctx, calls: &mut Calls, reply: CloudReply) {
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -26,6 +26,8 @@
     pub zone: String,
     pub nodes: usize,
     pub zones: Vec<String>,
+    /// Zones of the other controllers.
+    pub peer_zones: Vec<String>,
     pub teams: Vec<Team>,
     pub objectives: Vec<Objective>,
     pub report_ms: Ms,
@@ -77,6 +79,13 @@
 }
 
 impl Settings {
+    /// The zone with the most controllers, where nothing better is known.
+    pub fn busiest_zone(&self) -> &str {
+        let all = || self.peer_zones.iter().chain([&self.zone]);
+        let count = |z: &String| all().filter(|o| *o == z).count();
+        all().max_by_key(|z| (count(z), *z)).map_or("", |z| z)
+    }
+
     pub fn leader_lease_ms(&self) -> Ms {
         ((self.lease_ms as f64 * self.policy.leader_lease) as Ms).clamp(100, 600_000)
     }
--- a/crates/basaltrail-core/tests/simulation.rs
+++ b/crates/basaltrail-core/tests/simulation.rs
@@ -33,6 +33,7 @@
         zone: ZONES[node % 2].into(),
         nodes: NODES,
         zones: ZONES.map(String::from).to_vec(),
+        peer_zones: (0..NODES).filter(|n| *n != node).map(|n| ZONES[n % 2].into()).collect(),
         teams: vec![team(0), team(1)],
         objectives: vec![Objective::Finished { class: "c".into(), within_s: 60.0 }],
         report_ms: REPORT,
@@ -272,7 +273,7 @@
 impl World {
     fn new(seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let users = (0..24)
+        let users = (0..40)
             .map(|i| {
                 let at = rng.random_range(2_000..FAULTS_END + 20_000);
                 let team = rng.random_range(0..2);
@@ -778,7 +779,7 @@
                         TaskState::Fetching
                     };
                     let until = t + self.rng.random_range(200..2_500);
-                    let progress_until = until + self.rng.random_range(2_000..15_000);
+                    let progress_until = until + self.rng.random_range(2_000..25_000);
                     w.tasks.insert((task, attempt), Running { state, until, progress_until });
                 }
                 Order::Stop { task, attempt, grace_s } => {
@@ -929,9 +930,13 @@
             4 => self.nodes[node].state_cut = Some((long, held)),
             5 => self.nodes[node].refused_until = long,
             6 => self.zone_cut = Some((long, held)),
-            7 if !self.workers.is_empty() => {
-                let m = self.rng.random_range(0..self.workers.len());
-                self.workers[m].hangs_until = t + self.rng.random_range(1_000..20_000);
+            7 => {
+                // Many at once: hangs shorter and longer than a lease.
+                for w in &mut self.workers {
+                    if self.rng.random_bool(0.4) {
+                        w.hangs_until = t + self.rng.random_range(1_000..14_000);
+                    }
+                }
             }
             8 if !self.workers.is_empty() => {
                 let m = self.rng.random_range(0..self.workers.len());
@@ -977,8 +982,10 @@
             self.workers();
             self.check_cancelled();
             if self.t >= next_fault && self.t < FAULTS_END {
+                // Two at once are what a design forgets.
+                self.fault();
                 self.fault();
-                next_fault = self.t + self.rng.random_range(2_000..14_000);
+                next_fault = self.t + self.rng.random_range(3_000..20_000);
             }
         }
         for u in &self.users {
--- a/crates/basaltrail/src/settings.rs
+++ b/crates/basaltrail/src/settings.rs
@@ -41,6 +41,8 @@
 
 #[derive(Deserialize)]
 struct Member {
+    #[serde(default)]
+    zone: String,
     endpoint: String,
 }
 
@@ -176,6 +178,7 @@
         zone: f.zone,
         nodes: p.size.max(f.members.len() + 1),
         zones: p.zones.clone(),
+        peer_zones: f.members.iter().map(|m| m.zone.clone()).collect(),
         teams,
         objectives: p.objectives.iter().filter_map(ObjectiveEntry::read).collect(),
         report_ms: ms("workers.report_s", p.workers.report_s)?,
