Capacity held ready follows the work of late; debug logs hold our own events only

Tried first: returning below the guarantees after a minute (machines went back and were rented anew, in turns). Kept: nothing idles at the end.

--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -59,7 +59,7 @@
     ratio: f64,
     /// Machines of the type to be held for the guarantees, in all.
     ready: usize,
-    /// Machines of the type that could be used now, in all.
+    /// Machines of the type that could be used now, or are held ready, in all.
     target: usize,
     /// Machines of the type up to which this kind pays.
     most: usize,
@@ -119,6 +119,9 @@
     /// Zones that were cut off of late, and until when they count as such.
     cut_until: BTreeMap<String, Ms>,
     surplus_since: Option<Ms>,
+    /// Machines that work of late could use, fading; nothing is known at first.
+    peak: f64,
+    peak_at: Ms,
     roster: Vec<Vec<RosterEntry>>,
     roster_dirty: BTreeSet<usize>,
     stamps: HashMap<String, u64>,
@@ -160,6 +163,8 @@
             home_due: false,
             cut_until: BTreeMap::new(),
             surplus_since: None,
+            peak: f64::MAX,
+            peak_at: ctx.now,
             roster: Vec::new(),
             roster_dirty: BTreeSet::new(),
             stamps: HashMap::new(),
@@ -1419,7 +1424,12 @@
         let guaranteed: f64 = ctx.cfg.teams.iter().map(|t| t.cpus).sum();
         let limits: f64 = ctx.cfg.teams.iter().map(|t| t.cpus_max).sum();
         let mut wants: Vec<Want> = Vec::new();
-        for (i, (d, t)) in self.demand(ctx).iter().zip(ctx.types).enumerate() {
+        // What is held ready follows the work of late, so that nothing idles at the end.
+        let demand = self.demand(ctx);
+        let fade = (ctx.now - self.peak_at) as f64 / (ctx.cfg.policy.idle_s * 3000.0).max(1.0);
+        self.peak_at = ctx.now;
+        self.peak = (self.peak.min(limits) * (-fade).exp()).max(demand[cheap].machines);
+        for (i, (d, t)) in demand.iter().zip(ctx.types).enumerate() {
             let cpus = t.cpus.max(1e-9);
             let ready = if i == cheap { guaranteed * ctx.cfg.policy.headroom / cpus } else { 0.0 };
             let target = d.machines.max(ready).min(limits / cpus).ceil() as usize;
--- a/crates/basaltrail/src/logging.rs
+++ b/crates/basaltrail/src/logging.rs
@@ -1,6 +1,9 @@
 //! Logs on standard error, one event a line.
 
 use basaltrail_core::Level;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::{Layer, SubscriberExt};
+use tracing_subscriber::util::SubscriberInitExt;
 
 /// `LOG_LEVEL` is `error`, `info` or `debug`; anything else is reported and read as `info`.
 pub fn init() {
@@ -10,13 +13,14 @@
         "debug" => tracing::Level::DEBUG,
         _ => tracing::Level::INFO,
     };
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    // Our own events only: the libraries' would drown them at `debug`.
+    let ours = Targets::new().with_target("basaltrail", level);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .without_time()
-        .with_target(false)
-        .init();
+        .with_target(false);
+    tracing_subscriber::registry().with(lines.with_filter(ours)).init();
     if !matches!(asked.as_str(), "error" | "info" | "debug") {
         tracing::error!("event=log_level_unknown value={asked:?} used=info");
     }
