--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -1432,6 +1432,7 @@
         for (i, (d, t)) in demand.iter().zip(ctx.types).enumerate() {
             let cpus = t.cpus.max(1e-9);
             let ready = if i == cheap { guaranteed * ctx.cfg.policy.headroom / cpus } else { 0.0 };
+            let ready = ready.min(self.peak);
             let target = d.machines.max(ready).min(limits / cpus).ceil() as usize;
             for spot in [false, true] {
                 let ratio = (per_cpu(t, spot) / cheapest).max(1.0);
