Keep traces of the core; end our own earlier loan at once; place when back-offs end

Cause, found by writing the traces: a node restarted within its old loan never ended it (its turn was compared with a time that a list had set to never); a machine that became accounted for, or a back-off that ended, started nothing until the next round.

--- a/crates/basaltrail-core/src/election.rs
+++ b/crates/basaltrail-core/src/election.rs
@@ -65,6 +65,7 @@
     pending: Option<(u64, Ms)>,
     next_list: Ms,
     next_act: Ms,
+    next_revoke: Ms,
     next_extend: Ms,
 }
 
@@ -84,6 +85,7 @@
             pending: None,
             next_list: 0,
             next_act: 0,
+            next_revoke: 0,
             next_extend: 0,
         }
     }
@@ -148,10 +150,10 @@
                 match &v.holder {
                     // Our own name with a process that is gone (or a take whose outcome
                     // we never heard): nobody acts under it, so its loan can end now.
-                    Some(h) if h.record.node == self.node && now >= self.next_act => {
+                    Some(h) if h.record.node == self.node && now >= self.next_revoke => {
                         if let Some(loan) = h.loan {
                             self.acting = true;
-                            self.next_act = now + self.ttl / 10;
+                            self.next_revoke = now + self.ttl / 10;
                             let op = StateOp::Revoke { loan };
                             out.push((Call::Revoke { loan }, op, self.ttl / 4));
                         }
--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -133,6 +133,10 @@
     attempts: u32,
     changed: bool,
     next_place: Ms,
+    /// The last pass left work that found no room.
+    short_of_room: bool,
+    /// When a job's or a machine's back-off ends.
+    wake_at: Ms,
     /// Jobs for which others were stopped: the room that comes free is theirs first.
     reserved: BTreeMap<JobId, Ms>,
     rental: Rental,
@@ -176,6 +180,8 @@
             attempts: 0,
             changed: true,
             next_place: 0,
+            short_of_room: false,
+            wake_at: Ms::MAX,
             reserved: BTreeMap::new(),
             rental: Rental::default(),
             returned: VecDeque::new(),
@@ -493,6 +499,7 @@
             return busy("late report");
         }
         let first = m.last_checkin.is_none();
+        let usable = m.accounted && !m.lapsed;
         let changes = m.report(ctx.now, r, self.token);
         if first {
             self.changed = true;
@@ -507,6 +514,12 @@
         }
         self.apply(ctx, calls, &r.machine, changes);
         self.note_images(ctx, &r.machine);
+        // A machine that was not accounted for, or late, has become one to place on, and
+        // its room may be what a waiting job lacks.
+        let m = &self.machines[&r.machine];
+        let room = Self::type_index(ctx.types, &m.machine_type)
+            .is_some_and(|i| m.used().0 < ctx.types[i].cpus);
+        self.changed |= !usable || (room && self.short_of_room);
         if self.changed {
             self.place(ctx, calls, rng);
         }
@@ -891,7 +904,7 @@
             self.log_round(calls);
             self.changed = true;
         }
-        if self.changed && ctx.entitled {
+        if (self.changed || ctx.now >= self.wake_at) && ctx.entitled {
             self.place(ctx, calls, rng);
         }
         self.flush(ctx, calls);
@@ -1107,6 +1120,10 @@
                 waiting[team].retain(|j| *j != id);
             }
         }
+        self.short_of_room = !blocked.is_empty();
+        let jobs = self.jobs.values().filter(|j| j.pending() > 0).map(|j| j.not_before);
+        let machines = self.machines.values().map(|m| m.no_room_until);
+        self.wake_at = jobs.chain(machines).filter(|t| *t > ctx.now).min().unwrap_or(Ms::MAX);
         self.preempt(ctx, calls, &blocked, &used, &rooms);
     }
 
--- /dev/null
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -0,0 +1,432 @@
+//! Kept traces: text files that tell what goes into one controller and what must
+//! come out. `tests/traces/README` says how they are written.
+
+use basaltrail_core::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const TASKS: u32 = 2;
+
+fn settings() -> Settings {
+    let team = |name: &str, max: f64| Team {
+        name: name.into(),
+        cpus: 8.0,
+        cpus_max: max,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Settings {
+        node: "n0".into(),
+        zone: "a".into(),
+        nodes: 3,
+        zones: vec!["a".into()],
+        peer_zones: vec!["a".into(), "a".into()],
+        teams: vec![team("wide", 64.0), team("narrow", 8.0)],
+        objectives: Vec::new(),
+        report_ms: 1_000,
+        lease_ms: 10_000,
+        cancel_ms: 30_000,
+        state_rps: 1_000.0,
+        write_rps: 1_000.0,
+        value_bytes: 4_096,
+        txn_ops: 12,
+        cloud_rps: 100.0,
+        list_lag_ms: 3_000,
+        memory_mb: 56.0,
+        incarnation: 7,
+        policy: Policy::default(),
+    }
+}
+
+fn spec(team: &str) -> JobSpec {
+    JobSpec {
+        class: "c".into(),
+        team: team.into(),
+        priority: Priority::Normal,
+        tasks: TASKS,
+        cpus: 4.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: "i".into(),
+        image_gb: 1.0,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// One controller, and a state service that answers at once unless told otherwise.
+struct Trace {
+    node: Node,
+    t: u64,
+    keys: BTreeMap<String, (String, u64, Option<u64>)>,
+    revision: u64,
+    loan: u64,
+    state: &'static str,
+    /// Calls that wait for `state up` or for `late`.
+    stuck: Vec<StateOp>,
+    watches: Vec<(OpId, String, u64)>,
+    log: Vec<(String, u64, Option<String>)>,
+    req: u64,
+    out: Vec<String>,
+    /// The attempt that each `job/task@machine` was started with.
+    attempts: BTreeMap<String, Attempt>,
+}
+
+impl Trace {
+    fn new() -> Self {
+        Trace {
+            node: Node::new(Arc::new(settings()), 1),
+            t: 0,
+            keys: BTreeMap::new(),
+            revision: 0,
+            loan: 0,
+            state: "up",
+            stuck: Vec::new(),
+            watches: Vec::new(),
+            log: Vec::new(),
+            req: 0,
+            out: Vec::new(),
+            attempts: BTreeMap::new(),
+        }
+    }
+
+    fn put(&mut self, key: &str, value: Option<String>, loan: Option<u64>) {
+        match &value {
+            Some(v) => {
+                self.keys.insert(key.into(), (v.clone(), self.revision, loan));
+            }
+            None => {
+                self.keys.remove(key);
+            }
+        }
+        self.log.push((key.into(), self.revision, value));
+    }
+
+    fn carry_out(&mut self, op: &StateOp) -> StateReply {
+        let item = |k: &String, v: &(String, u64, Option<u64>)| Item {
+            key: k.clone(),
+            value: v.0.clone(),
+            stamp: v.1,
+            loan: v.2,
+        };
+        match op {
+            StateOp::Get(k) => {
+                self.keys.get(k).map_or(StateReply::Missing, |v| StateReply::Found(item(k, v)))
+            }
+            StateOp::List { prefix, .. } => StateReply::Rows {
+                items: self
+                    .keys
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix))
+                    .map(|(k, v)| item(k, v))
+                    .collect(),
+                more: false,
+                revision: self.revision,
+            },
+            StateOp::Txn { conds, puts, removes } => {
+                let stamp = |k: &String| self.keys.get(k).map_or(0, |v| v.1);
+                let failed: Vec<String> =
+                    conds.iter().filter(|(k, s)| stamp(k) != *s).map(|(k, _)| k.clone()).collect();
+                if !failed.is_empty() {
+                    return StateReply::Conflict { failed };
+                }
+                self.revision += 1;
+                for p in puts {
+                    self.put(&p.key, Some(p.value.clone()), p.loan);
+                }
+                for k in removes {
+                    self.put(k, None, None);
+                }
+                StateReply::Committed { revision: self.revision }
+            }
+            StateOp::Grant { .. } => {
+                self.loan += 1;
+                StateReply::Granted { loan: self.loan }
+            }
+            StateOp::Extend { loan } => {
+                let held = self.keys.get("c/leader").is_some_and(|k| k.2 == Some(*loan));
+                if held {
+                    StateReply::Ok
+                } else {
+                    StateReply::Missing
+                }
+            }
+            StateOp::Revoke { loan } => {
+                if self.keys.get("c/leader").is_some_and(|k| k.2 == Some(*loan)) {
+                    self.revision += 1;
+                    self.put("c/leader", None, None);
+                }
+                StateReply::Ok
+            }
+            StateOp::Watch { .. } => unreachable!(),
+        }
+    }
+
+    fn feed(&mut self, input: Input) {
+        let mut inputs = vec![input];
+        while let Some(input) = inputs.pop() {
+            for e in self.node.step(self.t, self.t as i64, input) {
+                match e {
+                    Effect::State { op, call: StateOp::Watch { prefix, after, .. }, .. } => {
+                        self.watches.push((op, prefix, after));
+                    }
+                    Effect::State { op, call, .. } => {
+                        let reply = match self.state {
+                            "up" => self.carry_out(&call),
+                            "refusing" => StateReply::Refused,
+                            _ => {
+                                self.stuck.push(call);
+                                StateReply::Unknown
+                            }
+                        };
+                        inputs.push(Input::State { op, reply });
+                    }
+                    Effect::Cloud { op, call, .. } => {
+                        let reply = match call {
+                            CloudOp::Types => CloudReply::Types(vec![MachineType {
+                                name: "x".into(),
+                                cpus: 8.0,
+                                gpus: 0.0,
+                                memory_gb: 64.0,
+                                cache_gb: 50.0,
+                                fetch_gb_per_s: 1.0,
+                                price: 1.0,
+                                spot_price: 0.4,
+                                boot_s: 8.0,
+                                zones: vec!["a".into()],
+                            }]),
+                            CloudOp::Rent { .. } => CloudReply::NoCapacity,
+                            CloudOp::Release(_) => CloudReply::Released,
+                            CloudOp::List { .. } => {
+                                CloudReply::Listed { machines: Vec::new(), more: false }
+                            }
+                        };
+                        inputs.push(Input::Cloud { op, reply });
+                    }
+                    Effect::Answer { answer, .. } => {
+                        let line = self.tell(&answer);
+                        self.out.push(line);
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, a: &Answer) -> String {
+        let name = |t: &TaskId| format!("{}/{}", t.job.0, t.index);
+        match a {
+            Answer::Created { .. } => "201".into(),
+            Answer::State { view, .. } => format!("200 {view:?}").to_lowercase(),
+            Answer::NotFound => "404".into(),
+            Answer::Impossible(_) => "422".into(),
+            Answer::Invalid(_) => "400".into(),
+            Answer::Busy { .. } => "503".into(),
+            Answer::Elsewhere { leader } => format!("421 {}", leader.as_deref().unwrap_or("-")),
+            Answer::Orders { token, orders } => {
+                let mut words = vec![format!("token {}", token.0)];
+                for o in orders {
+                    words.push(match o {
+                        Order::Start { task, attempt } => {
+                            self.attempts.insert(name(task), *attempt);
+                            format!("start {}", name(task))
+                        }
+                        Order::Stop { task, .. } => format!("stop {}", name(task)),
+                        Order::Forget { task, .. } => format!("forget {}", name(task)),
+                    });
+                }
+                words.join(", ")
+            }
+        }
+    }
+
+    fn ticks(&mut self, ms: u64) {
+        let until = self.t + ms;
+        while self.t < until {
+            self.t += 50;
+            self.feed(Input::Tick);
+            if self.state != "up" {
+                continue;
+            }
+            for (op, prefix, after) in std::mem::take(&mut self.watches) {
+                let new: Vec<Event> = self
+                    .log
+                    .iter()
+                    .filter(|(k, r, _)| *r > after && k.starts_with(&prefix))
+                    .map(|(key, stamp, v)| match v {
+                        Some(value) => Event::Put(Item {
+                            key: key.clone(),
+                            value: value.clone(),
+                            stamp: *stamp,
+                            loan: self.keys.get(key).and_then(|k| k.2),
+                        }),
+                        None => Event::Remove { key: key.clone(), stamp: *stamp },
+                    })
+                    .collect();
+                if new.is_empty() {
+                    self.watches.push((op, prefix, after));
+                } else {
+                    let reply = StateReply::Events { revision: self.revision, events: new };
+                    self.feed(Input::State { op, reply });
+                }
+            }
+        }
+    }
+
+    /// `report m1 s1 f5 t1 [notice] job/task=state ...`
+    fn report(&mut self, words: &[&str]) {
+        let number = |w: &str| w[1..].parse::<u64>().unwrap();
+        let mut tasks = Vec::new();
+        for w in &words[4..] {
+            let (task, state) = w.split_once('=').unwrap();
+            let (job, index) = task.split_once('/').unwrap();
+            let task_id =
+                TaskId { job: JobId(job.parse().unwrap()), index: index.parse().unwrap() };
+            let state = match state {
+                "fetching" => TaskState::Fetching,
+                "running" => TaskState::Running,
+                "done" => TaskState::Exited(Why::Done),
+                "error" => TaskState::Exited(Why::Error),
+                "stopped" => TaskState::Exited(Why::Stopped),
+                other => panic!("no state {other}"),
+            };
+            // A task that this node has not started was started by an earlier leader.
+            let attempt = self.attempts.get(task).copied().unwrap_or(Attempt(1));
+            tasks.push(TaskReport { task: task_id, attempt, state });
+        }
+        self.req += 1;
+        let report = Report {
+            machine: MachineId(words[0].into()),
+            endpoint: "e".into(),
+            machine_type: "x".into(),
+            zone: "a".into(),
+            spot: false,
+            session: number(words[1]),
+            seq: number(words[2]),
+            token: Token(number(words[3])),
+            notice_s: None,
+            tasks,
+        };
+        self.feed(Input::Checkin { req: ReqId(self.req), report: Box::new(report) });
+    }
+
+    fn line(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        self.req += 1;
+        let req = ReqId(self.req);
+        let job = |i: usize| JobId(words[i].parse().unwrap());
+        match words[0] {
+            "wait" => self.ticks(words[1].parse().unwrap()),
+            "state" => {
+                self.state =
+                    ["up", "refusing", "silent"].into_iter().find(|s| *s == words[1]).unwrap();
+            }
+            // What got no answer is carried out now.
+            "late" => {
+                for op in std::mem::take(&mut self.stuck) {
+                    self.carry_out(&op);
+                }
+            }
+            // Another node does this, straight in the state service.
+            "other" => {
+                self.revision += 1;
+                match words[1] {
+                    "leads" => {
+                        self.put(
+                            "c/leader",
+                            Some(r#"{"node":"n1","incarnation":1,"token":9}"#.into()),
+                            Some(999),
+                        );
+                        self.put("c/term", Some("9".into()), None);
+                    }
+                    "led-by-us" => {
+                        let record = r#"{"node":"n0","incarnation":1,"token":9}"#;
+                        self.put("c/leader", Some(record.into()), Some(999));
+                        self.put("c/term", Some("9".into()), None);
+                    }
+                    "goes" => self.put("c/leader", None, None),
+                    "roster" => {
+                        let e = |m: &&str| format!(r#"{{"id":"{m}","ty":"x","z":"a","s":false}}"#);
+                        let all: Vec<String> = words[2..].iter().map(e).collect();
+                        self.put("r/0", Some(format!("[{}]", all.join(","))), None);
+                    }
+                    "job" => {
+                        let record = records::JobRecord { at: 0, spec: spec(words[3]) };
+                        self.put(
+                            &records::active_key(job(2)),
+                            Some(records::encode(&record)),
+                            None,
+                        );
+                    }
+                    "cancels" => {
+                        self.put(&records::active_key(job(2)), None, None);
+                        self.put(&records::final_key(job(2)), Some("\"c\"".into()), None);
+                    }
+                    other => panic!("no {other}"),
+                }
+            }
+            "submit" => {
+                self.feed(Input::Submit { req, job: job(1), spec: Box::new(spec(words[2])) })
+            }
+            "poll" => self.feed(Input::Poll { req, job: job(1) }),
+            "cancel" => self.feed(Input::Cancel { req, job: job(1) }),
+            "report" => self.report(&words[1..]),
+            other => panic!("no {other}"),
+        }
+    }
+
+    fn play(name: &str, text: &str) {
+        let mut trace = Trace::new();
+        for (n, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap().trim();
+            if let Some(wanted) = line.strip_prefix("->") {
+                let got =
+                    if trace.out.is_empty() { "nothing".to_string() } else { trace.out.remove(0) };
+                assert_eq!(got, wanted.trim(), "{name}, line {}", n + 1);
+            } else if !line.is_empty() {
+                assert!(
+                    trace.out.is_empty(),
+                    "{name}, line {}: {:?} was not expected",
+                    n + 1,
+                    trace.out
+                );
+                trace.line(line);
+            }
+        }
+        assert!(trace.out.is_empty(), "{name}: {:?} was not expected", trace.out);
+    }
+}
+
+macro_rules! traces {
+    ($($name:ident)*) => {$(
+        #[test]
+        fn $name() {
+            Trace::play(stringify!($name), include_str!(concat!("traces/", stringify!($name), ".txt")));
+        }
+    )*};
+}
+
+traces! {
+    takeover_waits_for_every_machine
+    late_write_of_an_old_leader
+    lost_start
+    late_report
+    forget_waits_for_the_record
+    cancel_races_done
+    outage_longer_than_the_right
+    outage_shorter_than_the_right
+    hung_machine_resumes
+    limit_during_takeover
+    duplicate_in_a_group
+    unknown_and_ended_jobs
+    roster_before_start
+    own_earlier_process
+    failing_job_backs_off
+}
