--- /dev/null
+++ b/crates/basaltrail/tests/loopback.rs
@@ -0,0 +1,363 @@
+//! The real program on loopback, against stand-ins of the state service, the cloud and
+//! one worker: answers, bad input, a kill and a restart.
+
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, HashMap};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use warp::http::StatusCode;
+use warp::Filter;
+
+#[derive(Default)]
+struct Store {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    revision: u64,
+    loans: u64,
+    log: Vec<Value>,
+}
+
+type Shared = Arc<Mutex<Store>>;
+type Answer = Box<dyn warp::Reply>;
+
+fn reply(status: u16, body: Value) -> Answer {
+    Box::new(warp::reply::with_status(
+        warp::reply::json(&body),
+        StatusCode::from_u16(status).unwrap(),
+    ))
+}
+
+impl Store {
+    fn row(&self, key: &str) -> Option<Value> {
+        let (v, stamp, loan) = self.keys.get(key)?;
+        Some(json!({"key": key, "v": v, "stamp": stamp, "loan": loan}))
+    }
+
+    fn txn(&mut self, body: &Value) -> (u16, Value) {
+        let none = Vec::new();
+        let list = |name: &str| body[name].as_array().unwrap_or(&none).clone();
+        let failed: Vec<Value> = list("if")
+            .iter()
+            .filter(|c| {
+                self.keys.get(c["key"].as_str().unwrap()).map_or(0, |k| k.1)
+                    != c["stamp"].as_u64().unwrap()
+            })
+            .map(|c| c["key"].clone())
+            .collect();
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "impression": self.revision}));
+        }
+        let changes = list("apply");
+        self.revision += !changes.is_empty() as u64;
+        for c in changes {
+            if let Some(key) = c["put"].as_str() {
+                self.keys.insert(key.into(), (c["v"].clone(), self.revision, c["loan"].as_u64()));
+                self.log.push(
+                    json!({"put": key, "v": c["v"], "stamp": self.revision, "loan": c["loan"]}),
+                );
+            } else if let Some(key) = c["remove"].as_str() {
+                self.remove(key);
+            }
+        }
+        (200, json!({"impression": self.revision}))
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            self.log.push(json!({"remove": key, "stamp": self.revision}));
+        }
+    }
+}
+
+async fn serve_state(store: Shared) -> SocketAddr {
+    type Query = HashMap<String, String>;
+    let with = warp::any().map(move || store.clone());
+    let get = warp::path("kv")
+        .and(warp::path::tail())
+        .and(warp::get())
+        .and(warp::query::<Query>())
+        .and(with.clone())
+        .map(|tail: warp::path::Tail, q: Query, s: Shared| {
+            let s = s.lock().unwrap();
+            if let Some(prefix) = q.get("starts") {
+                let after = q.get("after").cloned().unwrap_or_default();
+                let keys = s.keys.keys().filter(|k| k.starts_with(prefix) && **k > after);
+                let rows: Vec<Value> = keys.filter_map(|k| s.row(k)).collect();
+                return reply(
+                    200,
+                    json!({"rows": rows, "truncated": false, "impression": s.revision}),
+                );
+            }
+            match s.row(tail.as_str()) {
+                Some(row) => reply(200, row),
+                None => reply(404, json!({"impression": s.revision})),
+            }
+        });
+    let txn = warp::path!("txn").and(warp::post()).and(warp::body::json()).and(with.clone()).map(
+        |body: Value, s: Shared| {
+            let (status, body) = s.lock().unwrap().txn(&body);
+            reply(status, body)
+        },
+    );
+    let grant = warp::path!("grants").and(warp::post()).and(with.clone()).map(|s: Shared| {
+        let mut s = s.lock().unwrap();
+        s.loans += 1;
+        reply(200, json!({"loan": s.loans}))
+    });
+    let extend =
+        warp::path!("grants" / u64 / "extend").and(warp::post()).map(|_| reply(200, json!({})));
+    let revoke = warp::path!("grants" / u64).and(warp::delete()).and(with.clone()).map(
+        |loan: u64, s: Shared| {
+            let mut s = s.lock().unwrap();
+            s.revision += 1;
+            let keys: Vec<String> =
+                s.keys.iter().filter(|(_, k)| k.2 == Some(loan)).map(|(k, _)| k.clone()).collect();
+            keys.iter().for_each(|k| s.remove(k));
+            reply(200, json!({}))
+        },
+    );
+    let watch = warp::path!("changes").and(warp::get()).and(warp::query::<Query>()).and(with).then(
+        |q: Query, s: Shared| async move {
+            let after: u64 = q["after"].parse().unwrap();
+            let until = Instant::now() + Duration::from_millis(q["blockMs"].parse().unwrap());
+            loop {
+                {
+                    let s = s.lock().unwrap();
+                    let ours = |e: &&Value| {
+                        let key = e["put"].as_str().or(e["remove"].as_str()).unwrap();
+                        key.starts_with(&q["starts"]) && e["stamp"].as_u64().unwrap() > after
+                    };
+                    let news: Vec<&Value> = s.log.iter().filter(ours).collect();
+                    if !news.is_empty() || Instant::now() > until {
+                        return reply(200, json!({"impression": s.revision, "news": news}));
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        },
+    );
+    start(get.or(txn).or(grant).or(extend).or(revoke).or(watch)).await
+}
+
+async fn serve_cloud() -> SocketAddr {
+    let types = warp::path!("machine_types").map(|| {
+        reply(200, json!({"formats": [{"name": "x", "vcpus": 8, "gpus": 0, "ramGb": 32, "localGb": 50,
+            "fetchGbPerS": 1.0, "price": 1.0, "marketPrice": 0.4, "bootS": 5, "rooms": ["valley-room"]}]}))
+    });
+    let rent = warp::path!("rentals")
+        .and(warp::post())
+        .map(|| reply(503, json!({"error": "no capacity"})));
+    let list = warp::path!("rentals")
+        .and(warp::get())
+        .map(|| reply(200, json!({"stacks": [], "truncated": false})));
+    let release =
+        warp::path!("rentals" / "release").and(warp::post()).map(|| reply(200, json!({})));
+    start(types.or(rent).or(list).or(release)).await
+}
+
+async fn start<F>(filter: F) -> SocketAddr
+where
+    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Extract: warp::Reply,
+{
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(warp::serve(filter).incoming(listener).run());
+    addr
+}
+
+/// Status, headers and body of one request.
+async fn call(to: SocketAddr, head: &str, body: &str) -> Option<(u16, String, Value)> {
+    let work = async {
+        let mut s = TcpStream::connect(to).await.ok()?;
+        let request = format!(
+            "{head} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        // The server may answer and close before it has read everything.
+        let _ = s.write_all(request.as_bytes()).await;
+        let mut answer = Vec::new();
+        let _ = s.read_to_end(&mut answer).await;
+        let answer = String::from_utf8(answer).ok()?;
+        let (head, body) = answer.split_once("\r\n\r\n")?;
+        let status = head.split(' ').nth(1)?.parse().ok()?;
+        Some((status, head.to_lowercase(), serde_json::from_str(body).unwrap_or(Value::Null)))
+    };
+    tokio::time::timeout(Duration::from_secs(10), work).await.ok()?
+}
+
+/// A worker that runs whatever it is given at once.
+async fn worker(node: SocketAddr) {
+    let (mut folio, mut warrant) = (0, 0);
+    let mut leaves: Vec<Value> = Vec::new();
+    loop {
+        folio += 1;
+        let report = json!({"stack": "m-000001", "endpoint": "127.0.0.1:1", "format": "x", "room": "valley-room",
+            "remainders": false, "tenure": 1, "folio": folio, "warrant": warrant, "recallS": null, "leaves": leaves});
+        if let Some((200, _, body)) = call(node, "POST /checkin", &report.to_string()).await {
+            warrant = warrant.max(body["warrant"].as_u64().unwrap());
+            for o in body["orders"].as_array().unwrap() {
+                let same = |l: &Value| l["leaf"] == o["leaf"] && l["printing"] == o["printing"];
+                match o["order"].as_str().unwrap() {
+                    "start" if !leaves.iter().any(same) => leaves.push(json!({"leaf": o["leaf"],
+                        "printing": o["printing"], "condition": "ended", "colophon": "done"})),
+                    "forget" => leaves.retain(|l| !same(l)),
+                    _ => {}
+                }
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn free_port() -> SocketAddr {
+    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn program() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_basaltrail"))
+}
+
+async fn until<F: Future<Output = bool>>(what: &str, mut f: impl FnMut() -> F) {
+    for _ in 0..300 {
+        if f().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("never {what}");
+}
+
+fn job(id: &str, team: &str) -> String {
+    json!({"nameId": id, "shelf": "c", "desk": team, "binding": "array", "precedence": "standard", "leaves": 5,
+        "vcpus": 2.0, "gpus": 0.0, "ramGb": 1.0, "edition": "i", "sizeGb": 0.1, "formats": null, "room": null,
+        "samePlace": false, "apart": false, "remainders": true, "reckonS": 1.0, "bookmarkS": 0.0, "pressS": 0.0,
+        "dueS": null})
+    .to_string()
+}
+
+#[tokio::test]
+async fn one_node_serves_users_and_a_worker_over_a_restart() {
+    let state = serve_state(Shared::default()).await;
+    let cloud = serve_cloud().await;
+    let (node, peer) = (free_port(), free_port());
+    let text = include_str!("settings.toml")
+        .replace("127.0.0.1:7100", &node.to_string())
+        .replace("127.0.0.1:7200", &peer.to_string())
+        .replace("127.0.0.1:7300", &state.to_string())
+        .replace("127.0.0.1:7301", &cloud.to_string());
+    let file =
+        std::env::temp_dir().join(format!("basaltrail-loopback-{}.toml", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let run = || {
+        let mut c = program();
+        c.arg("--config").arg(&file).stderr(Stdio::null());
+        Process(c.spawn().unwrap())
+    };
+    let first = run();
+    let ready = || async { matches!(call(node, "GET /ready", "").await, Some((200, ..))) };
+    until("ready", ready).await;
+    tokio::spawn(worker(node));
+
+    let status = |head: &'static str, body: String| async move {
+        call(node, head, &body).await.map(|a| a.0)
+    };
+    let submit = "POST /api/jobs";
+    for (body, wanted) in [
+        ("not json".to_string(), 400),
+        ("[]".into(), 400),
+        (job("job-1", "buyers"), 400),
+        (job("job-000001", "buyers").replace("2.0", "-2.0"), 400),
+        (format!("{}{}", job("job-000001", "buyers"), " ".repeat(70_000)), 400),
+        (job("job-000001", "nobody"), 422),
+        (job("job-000001", "buyers").replace("2.0", "16.0"), 422),
+        (job("job-000001", "buyers"), 201),
+        (job("job-000001", "buyers"), 200),
+    ] {
+        let shown = body.chars().take(200).collect::<String>();
+        assert_eq!(status(submit, body).await, Some(wanted), "{shown}");
+    }
+    assert_eq!(status("GET /api/jobs/job-000009", String::new()).await, Some(404));
+    assert_eq!(status("GET /api/jobs/nonsense", String::new()).await, Some(404));
+    assert_eq!(status("POST /checkin", "{}".into()).await, Some(400));
+    assert_eq!(status("DELETE /api/jobs", String::new()).await, Some(405));
+    assert_eq!(status(submit, job("job-000002", "buyers")).await, Some(201));
+    let (code, _, body) = call(node, "POST /api/jobs/job-000002/cancel", "").await.unwrap();
+    assert!(
+        code == 200 && (body["condition"] == "aborted" || body["condition"] == "done"),
+        "{body}"
+    );
+    // A body that never comes, and a line that is no request, cost nobody anything.
+    let mut half = TcpStream::connect(node).await.unwrap();
+    half.write_all(b"POST /api/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 500\r\n\r\n{")
+        .await
+        .unwrap();
+    let mut noise = TcpStream::connect(node).await.unwrap();
+    noise.write_all(&[0, 255, 13, 10, 13, 10]).await.unwrap();
+    let done = || async {
+        let a = call(node, "GET /api/jobs/job-000001", "").await;
+        a.is_some_and(|(s, _, b)| s == 200 && b["condition"] == "done")
+    };
+    until("done", done).await;
+
+    drop(first);
+    let _second = run();
+    until("ready again", ready).await;
+    until("done still", done).await;
+    assert_eq!(status(submit, job("job-000003", "buyers")).await, Some(201));
+    let more = || async {
+        let a = call(node, "GET /api/jobs/job-000003", "").await;
+        a.is_some_and(|(_, _, b)| b["condition"] == "done")
+    };
+    until("done after the restart", more).await;
+    let _ = std::fs::remove_file(&file);
+}
+
+#[tokio::test]
+async fn without_services_every_request_is_answered_at_once() {
+    let (node, peer) = (free_port(), free_port());
+    let text = include_str!("settings.toml")
+        .replace("127.0.0.1:7100", &node.to_string())
+        .replace("127.0.0.1:7200", &peer.to_string())
+        .replace("127.0.0.1:7300", &free_port().to_string())
+        .replace("127.0.0.1:7301", &free_port().to_string());
+    let file = std::env::temp_dir().join(format!("basaltrail-alone-{}.toml", std::process::id()));
+    std::fs::write(&file, text).unwrap();
+    let _p = Process(program().arg("--config").arg(&file).stderr(Stdio::null()).spawn().unwrap());
+    until("listening", || async { call(node, "GET /ready", "").await.is_some() }).await;
+    assert_eq!(call(node, "GET /ready", "").await.unwrap().0, 503);
+    let (status, head, _) =
+        call(node, "POST /api/jobs", &job("job-000001", "buyers")).await.unwrap();
+    assert!(status == 503 && head.contains("retry-after: "), "{status} {head}");
+    let _ = std::fs::remove_file(&file);
+}
+
+#[test]
+fn bad_settings_give_one_line_and_status_2() {
+    let good = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/settings.toml");
+    let ok = program().args(["--config", good, "--check"]).output().unwrap();
+    assert!(ok.status.success());
+    let policy = std::env::temp_dir().join(format!("basaltrail-{}.policy", std::process::id()));
+    std::fs::write(&policy, "(policy\n (smaple 9))").unwrap();
+    let bad =
+        program().args(["--config", good, "--check", "--policy"]).arg(&policy).output().unwrap();
+    let told = String::from_utf8(bad.stderr).unwrap();
+    assert_eq!((bad.status.code(), told.lines().count()), (Some(2), 1), "{told}");
+    assert!(told.contains(":2: unknown key"), "{told}");
+    let none = program().args(["--config", "/nonexistent.toml"]).output().unwrap();
+    assert_eq!(none.status.code(), Some(2));
+    let _ = std::fs::remove_file(&policy);
+}
