--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -1283,7 +1283,10 @@
                 for m in self.machines.values().filter(|m| self.usable(ctx, m)) {
                     for (key, e) in &m.entries {
                         let Some(n) = e.need.filter(|n| n.save_s.is_some()) else { continue };
-                        if !e.runs() || e.stop.is_some() {
+                        // Stopping what has just begun costs more than it ran.
+                        let ran = e.running_since.map_or(0, |t| ctx.now - t) as f64 / 1000.0;
+                        let young = n.save_s.is_some_and(|save| ran < 4.0 * save);
+                        if !e.runs() || e.stop.is_some() || young {
                             continue;
                         }
                         let spare = self.jobs.get(&key.0.job).and_then(|j| spare_s(ctx, j));
