--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -10,8 +10,8 @@
 pub enum Place {
     /// Chosen; no response has carried the start yet.
     Assigned { at: Ms },
-    /// The start went out in the response to this report.
-    Sent { session: u64, seq: u64 },
+    /// The start went out in the response to the last report.
+    Sent,
     /// The worker itself has told of it.
     Told(TaskState),
 }
@@ -236,9 +236,9 @@
             }
             let gone = match e.place {
                 Place::Assigned { .. } => false,
-                // A later report of the same session, made after the response with
-                // the start was taken or dropped, shows that the start was lost.
-                Place::Sent { session, seq } => (r.session, r.seq) > (session, seq),
+                // This report is newer than the one that was answered with the start, so
+                // it was made after that response was taken or dropped: the start is lost.
+                Place::Sent => true,
                 Place::Told(_) => true,
             };
             if gone && !e.settled {
--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -570,7 +570,6 @@
     fn orders(&mut self, ctx: &Ctx, machine: &MachineId) -> Vec<Order> {
         let mut orders = Vec::new();
         let Some(m) = self.machines.get_mut(machine) else { return orders };
-        let (session, seq) = (m.session, m.seq);
         let repeat = ctx.cfg.report_ms * 3;
         for ((task, attempt), e) in m.entries.iter_mut() {
             if orders.len() >= ORDERS_MOST {
@@ -590,7 +589,7 @@
                     }
                 }
                 Place::Assigned { .. } => {
-                    e.place = Place::Sent { session, seq };
+                    e.place = Place::Sent;
                     orders.push(Order::Start { task, attempt });
                 }
                 _ => {
@@ -922,7 +921,7 @@
         for e in self.machines.values().flat_map(|m| m.entries.values()) {
             let n = e.need.map_or(0.0, |n| n.cpus);
             let i = match e.place {
-                Place::Assigned { .. } | Place::Sent { .. } => 0,
+                Place::Assigned { .. } | Place::Sent => 0,
                 Place::Told(TaskState::Fetching) => 1,
                 Place::Told(TaskState::Running) => 2,
                 Place::Told(TaskState::Saving) => 3,
--- /dev/null
+++ b/crates/basaltrail-protocol/tests/fuzz.rs
@@ -0,0 +1,115 @@
+//! Seeded noise against every parser: none panics, and what is taken keeps its bounds.
+
+use basaltrail_core::*;
+use basaltrail_protocol::{cloud, frames, jobs, state, workers};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const SEEDS: [&str; 9] = [
+    r#"{"nameId":"job-000412","shelf":"t","desk":"v","binding":"array","precedence":"urgent","leaves":16,"vcpus":8.0,"gpus":1.0,"ramGb":64.0,"edition":"i","sizeGb":6.2,"formats":["g8"],"room":null,"samePlace":true,"apart":false,"remainders":true,"reckonS":240.0,"bookmarkS":30.0,"pressS":4.0,"dueS":900.0}"#,
+    r#"{"stack":"m-000231","endpoint":"10.1.0.232:9000","format":"g8","room":"a","remainders":true,"tenure":1,"folio":88,"warrant":41,"recallS":null,"leaves":[{"leaf":"job-000412/3","printing":2,"condition":"running"},{"leaf":"job-000398/0","printing":1,"condition":"ended","colophon":"done"}]}"#,
+    r#"{"formats":[{"name":"g8","vcpus":96,"gpus":8,"ramGb":768,"localGb":200,"fetchGbPerS":1.0,"price":12.0,"marketPrice":4.5,"bootS":45,"rooms":["a","b"]}]}"#,
+    r#"{"stacks":["m-000231","m-000232"]}"#,
+    r#"{"stacks":[{"nameId":"m-000231","endpoint":"10.1.0.232:9000","format":"g8","room":"a","remainders":true,"condition":"running","ageS":61.5}],"truncated":false}"#,
+    r#"{"key":"a/b","v":{"x":[1,2]},"stamp":412,"loan":7}"#,
+    r#"{"rows":[{"key":"a","v":1,"stamp":2}],"truncated":true,"impression":431}"#,
+    r#"{"impression":433,"news":[{"put":"c/9","v":{},"stamp":433},{"remove":"c/d","stamp":432}]}"#,
+    r#"{"failed":["a/b"],"impression":431}"#,
+];
+const BITS: [&str; 14] = [
+    "null",
+    "-1",
+    "1e999",
+    "18446744073709551616",
+    "NaN",
+    "\"\"",
+    "[]",
+    "{}",
+    "\\u0000",
+    "\"",
+    "{",
+    "]",
+    ",",
+    "0.5",
+];
+
+fn garble(rng: &mut SmallRng, text: &str) -> Vec<u8> {
+    let mut b = text.as_bytes().to_vec();
+    for _ in 0..rng.random_range(1..4) {
+        let at = rng.random_range(0..b.len());
+        let to = (at + rng.random_range(0..9)).min(b.len());
+        match rng.random_range(0..4) {
+            0 => b[at] = rng.random(),
+            1 => drop(b.drain(at..to)),
+            2 => drop(b.splice(at..to, BITS[rng.random_range(0..BITS.len())].bytes())),
+            _ => b.truncate(at.max(1)),
+        }
+        if b.is_empty() {
+            b.push(b'{');
+        }
+    }
+    b
+}
+
+#[test]
+fn no_parser_panics_and_bounds_hold() {
+    let mut rng = SmallRng::seed_from_u64(5);
+    let cloud_ops = [
+        CloudOp::Types,
+        CloudOp::Rent {
+            requisition: "r".into(),
+            machine_type: "x".into(),
+            zone: "a".into(),
+            spot: true,
+            count: 1,
+        },
+        CloudOp::Release(Vec::new()),
+        CloudOp::List { after: None },
+    ];
+    let state_ops = [
+        StateOp::Get("a".into()),
+        StateOp::List { prefix: "a".into(), after: None, limit: 1 },
+        StateOp::Txn { conds: Vec::new(), puts: Vec::new(), removes: Vec::new() },
+        StateOp::Grant { ttl_ms: 1 },
+        StateOp::Extend { loan: 1 },
+        StateOp::Watch { prefix: "a".into(), after: 0, wait_ms: 0 },
+    ];
+    let (mut taken, mut refused) = (0, 0);
+    for _ in 0..20_000 {
+        let seed = SEEDS[rng.random_range(0..SEEDS.len())];
+        let body = garble(&mut rng, seed);
+        match jobs::submission(&body) {
+            Ok((_, s)) => {
+                taken += 1;
+                assert!((1..=jobs::TASKS_MOST).contains(&s.tasks));
+                assert!(
+                    s.cpus > 0.0
+                        && s.cpus.is_finite()
+                        && s.memory_gb >= 0.0
+                        && s.save_s.is_finite()
+                );
+            }
+            Err(_) => refused += 1,
+        }
+        let _ = workers::report(&body);
+        let status = [200, 404, 409, 410, 429, 503, 700][rng.random_range(0..7)];
+        for op in &cloud_ops {
+            let reply = cloud::reply(op, status, &body);
+            if status != 200 {
+                assert!(matches!(reply, Ok(CloudReply::Failed | CloudReply::NoCapacity)));
+            }
+        }
+        for op in &state_ops {
+            let reply = state::reply(op, status, &body);
+            // A refusal must never be taken for a change that was made.
+            if status != 200 {
+                assert!(!matches!(reply, Ok(StateReply::Committed { .. } | StateReply::Ok)));
+            }
+        }
+        if let Some(n) = body.get(..frames::HEADER_BYTES).and_then(frames::body_bytes) {
+            assert!(n <= frames::RECORDS_MOST * 16);
+        }
+        let _ = frames::read(&body);
+    }
+    assert!(taken > 20 && refused > 1_000, "{taken} taken, {refused} refused");
+}
