--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -429,4 +429,5 @@
     roster_before_start
     own_earlier_process
     failing_job_backs_off
+    cancel_stops_tasks
 }
