--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -67,7 +67,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Policy {
-            leader_lease: 0.5,
+            leader_lease: 0.35,
             round_s: 10.0,
             lease_term_s: 10.0,
             headroom: 1.0,
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -34,7 +34,7 @@
         list_lag_ms: 3_000,
         memory_mb: 56.0,
         incarnation: 7,
-        policy: Policy::default(),
+        policy: Policy { leader_lease: 0.5, ..Policy::default() },
     }
 }
 
