--- a/crates/basaltrail-core/src/election.rs
+++ b/crates/basaltrail-core/src/election.rs
@@ -66,6 +66,7 @@
     next_list: Ms,
     next_act: Ms,
     next_revoke: Ms,
+    hold_until: Ms,
     next_extend: Ms,
 }
 
@@ -86,6 +87,7 @@
             next_list: 0,
             next_act: 0,
             next_revoke: 0,
+            hold_until: 0,
             next_extend: 0,
         }
     }
@@ -119,6 +121,13 @@
         self.next_list = now;
     }
 
+    /// Gives leadership up for a while, so that another node may take it. The loan is
+    /// ended as that of an earlier process would be.
+    pub fn resign(&mut self, now: Ms, hold: Ms) {
+        self.step_down(now);
+        self.hold_until = now + hold;
+    }
+
     /// The calls to make now. `jitter` keeps equal nodes from asking at once.
     pub fn calls(&mut self, now: Ms, jitter: Ms) -> Vec<(Call, StateOp, Ms)> {
         let mut out = Vec::new();
@@ -159,7 +168,7 @@
                         }
                     }
                     None if self.next_act == Ms::MAX => self.next_act = now + jitter,
-                    None if now >= self.next_act => {
+                    None if now >= self.next_act.max(self.hold_until) => {
                         self.acting = true;
                         let op = StateOp::Grant { ttl_ms: self.ttl };
                         out.push((Call::Grant { sent: now }, op, self.ttl / 4));
--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -158,6 +158,12 @@
             });
         }
         self.with_reign(|reign, ctx, calls, rng| reign.tick(ctx, calls, rng));
+        if self.with_reign(|reign, ctx, _, _| ctx.entitled && reign.lost_workers(ctx)) == Some(true)
+        {
+            // Another node may still reach them, and their leases run.
+            self.calls.log(Level::Info, "resigned", "why=\"workers silent\"".into());
+            self.election.resign(self.now, self.cfg.lease_ms * 2);
+        }
         self.read_unknown();
         self.tell_progress();
     }
--- a/crates/basaltrail-core/src/reign.rs
+++ b/crates/basaltrail-core/src/reign.rs
@@ -1622,6 +1622,24 @@
         self.cut_until.retain(|_, until| *until > ctx.now);
     }
 
+    /// Whether this node seems to have lost the workers: most of those that reported to
+    /// it went silent, in its own zone too, well before their leases end.
+    pub fn lost_workers(&self, ctx: &Ctx) -> bool {
+        let silent_after = ctx.cfg.lease_ms * 2 / 5;
+        let (mut all, mut silent, mut near, mut near_silent) = (0, 0, 0, 0);
+        for m in self.machines.values().filter(|m| m.returning == Returning::No) {
+            let Some(at) = m.last_checkin else { continue };
+            let is_silent = (ctx.now > at + silent_after) as usize;
+            all += 1;
+            silent += is_silent;
+            if m.zone == ctx.cfg.zone {
+                near += 1;
+                near_silent += is_silent;
+            }
+        }
+        all > 2 && silent * 3 > all * 2 && near_silent * 3 >= near * 2
+    }
+
     /// Leaves word of the zone with the most machines.
     fn note_home(&mut self) {
         let mut count: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -430,4 +430,6 @@
     own_earlier_process
     failing_job_backs_off
     cancel_stops_tasks
+    leader_without_workers
+    leader_with_one_worker_heard
 }
