--- a/crates/basaltrail/src/driver.rs
+++ b/crates/basaltrail/src/driver.rs
@@ -25,8 +25,8 @@
     http: Http,
     state: SocketAddr,
     cloud: SocketAddr,
-    /// Answers of calls. The core bounds its calls in flight by the budgets.
-    answers: mpsc::UnboundedSender<Input>,
+    /// Answers of calls; those who carry them wait when the loop is behind.
+    answers: mpsc::Sender<Input>,
     frame: watch::Sender<Vec<u8>>,
     ready: Arc<AtomicBool>,
 }
@@ -35,7 +35,7 @@
     let listener = TcpListener::bind(settings.listen).await?;
     let peer_listener = TcpListener::bind(settings.peer_listen).await?;
     let (asks, mut from_door) = mpsc::channel(QUEUE);
-    let (answers, mut from_calls) = mpsc::unbounded_channel();
+    let (answers, mut from_calls) = mpsc::channel(QUEUE);
     let (hints, mut from_peers) = mpsc::channel(4);
     let (frame, newest) = watch::channel(Vec::new());
     let ready = Arc::new(AtomicBool::new(false));
@@ -101,14 +101,14 @@
                 let (http, to, answers) = (self.http.clone(), self.state, self.answers.clone());
                 tokio::spawn(async move {
                     let reply = http.state(to, &call, timeout_ms).await;
-                    let _ = answers.send(Input::State { op, reply });
+                    let _ = answers.send(Input::State { op, reply }).await;
                 });
             }
             Effect::Cloud { op, call, timeout_ms } => {
                 let (http, to, answers) = (self.http.clone(), self.cloud, self.answers.clone());
                 tokio::spawn(async move {
                     let reply = http.cloud(to, &call, timeout_ms).await;
-                    let _ = answers.send(Input::Cloud { op, reply });
+                    let _ = answers.send(Input::Cloud { op, reply }).await;
                 });
             }
             Effect::Peers { progress } => {
