Give room first to jobs that could stop others for it

The low class's team had the lower degree, took every place that came free, and was stopped by the other team's jobs of higher priority, again and again.

Now a job that could stop what other teams run goes before the ranking by degree; the outcome is the same without the stops.

--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -13,6 +13,7 @@
 use crate::rental::{Kind, Rental, Request};
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 mod placing;
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -148,12 +148,7 @@
                 waiting[team].retain(|j| *j != id);
             }
         }
-        while let Some(team) =
-            (0..waiting.len()).filter(|t| !waiting[*t].is_empty()).min_by(|a, b| {
-                self.ledger.teams[*a].degree().total_cmp(&self.ledger.teams[*b].degree())
-            })
-        {
-            let Some(id) = self.select(ctx, &waiting[team]) else { break };
+        while let Some((team, id)) = self.next_job(ctx, &waiting, &used) {
             if !self.grant_one(ctx, id, &mut rooms, &mut used, rng) {
                 waiting[team].retain(|j| *j != id);
                 blocked.push(id);
@@ -186,6 +181,33 @@
         true
     }
 
+    /// The team with the lowest degree, and its job. Before it goes a job that could stop
+    /// the work of the others for its room: given by degree alone, the room would be taken
+    /// by what is stopped at once.
+    fn next_job(
+        &self,
+        ctx: &Ctx,
+        waiting: &[Vec<JobId>],
+        used: &[(f64, f64)],
+    ) -> Option<(usize, JobId)> {
+        let beyond = |t: usize| used[t].0 > ctx.cfg.teams[t].cpus + 1e-9;
+        let rank = |team: usize, id: &JobId| {
+            let j = &self.jobs[id];
+            let within = used[team].0 + j.spec.cpus <= ctx.cfg.teams[team].cpus + 1e-9;
+            let others = (0..used.len()).any(|t| t != team && beyond(t));
+            let may_stop = (within || others) && spare_s(ctx, j).is_some();
+            let priority = if may_stop { j.spec.priority } else { Priority::Low };
+            (Reverse(priority), self.ledger.teams[team].degree())
+        };
+        waiting
+            .iter()
+            .enumerate()
+            .filter_map(|(team, ids)| Some((team, self.select(ctx, ids)?)))
+            .map(|(team, id)| (rank(team, &id), team, id))
+            .min_by(|(a, ..), (b, ..)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
+            .map(|(_, team, id)| (team, id))
+    }
+
     /// Within a team: jobs that can still be in time for an objective, the one with the
     /// least time to lose first; then the others, by degree.
     fn select(&self, ctx: &Ctx, ids: &[JobId]) -> Option<JobId> {
