Let the largest jobs give up being in time first when all cannot be

Jobs of a team that cannot all be begun in time now give up the largest among them (Moore and Hodgson's rule), which then tries its next date; what is out of reach stops nobody and is ranked as before. core::reach, with unit tests.

--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod model;
 pub mod node;
 pub mod placement;
+pub mod reach;
 pub mod records;
 pub mod reign;
 pub mod rental;
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -9,6 +9,7 @@
 use crate::jobs::{RunJob, Table};
 use crate::model::*;
 use crate::placement::{choose, Room, Spread, Wish};
+use crate::reach::{in_reach, Candidate};
 use crate::records::*;
 use crate::rental::{Kind, Rental, Request};
 use crate::settings::Settings;
@@ -72,15 +73,18 @@
     most: usize,
 }
 
-/// Seconds a job can still lose and be in time for the nearest objective in reach;
-/// None if none is. Estimates are often wrong, so a little overdue still counts.
-fn spare_s(ctx: &Ctx, j: &RunJob) -> Option<f64> {
+/// Seconds a job can still lose, by objective that it may meet, the nearest last.
+/// Estimates are often wrong, so a little overdue still counts.
+fn spares_s(ctx: &Ctx, j: &RunJob) -> Vec<f64> {
     let age = (ctx.wall - j.at) as f64 / 1000.0;
-    ctx.cfg
+    let mut spares: Vec<f64> = ctx
+        .cfg
         .wanted_s(&j.spec)
         .map(|due| due - age - j.spec.estimate_s)
         .filter(|spare| *spare > -0.3 * j.spec.estimate_s)
-        .min_by(f64::total_cmp)
+        .collect();
+    spares.sort_by(|a, b| b.total_cmp(a));
+    spares
 }
 
 /// What the reply to a flush asks of the node.
@@ -148,6 +152,8 @@
     wake_at: Ms,
     /// Jobs for which others were stopped: the room that comes free is theirs first.
     reserved: BTreeMap<JobId, Ms>,
+    /// Jobs that can still be in time, with the seconds that each can lose.
+    reach: HashMap<JobId, f64>,
     rental: Rental,
     returned: VecDeque<MachineId>,
     /// Jobs that workers told of and the table does not hold.
@@ -192,6 +198,7 @@
             short_of_room: false,
             wake_at: Ms::MAX,
             reserved: BTreeMap::new(),
+            reach: HashMap::new(),
             rental: Rental::default(),
             returned: VecDeque::new(),
             unknown: BTreeSet::new(),
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -75,6 +75,33 @@
         fleet
     }
 
+    /// Which jobs can be in time, team by team and the higher priorities first: a team may
+    /// begin at once what it lacks of its share, and as much more as its tasks end.
+    fn find_reach(&self, ctx: &Ctx, used: &[(f64, f64)]) -> HashMap<JobId, f64> {
+        let mut reach = HashMap::new();
+        for (team, (used, _)) in used.iter().enumerate() {
+            let mut open: BTreeMap<Reverse<Priority>, Vec<Candidate>> = BTreeMap::new();
+            let (mut cpus, mut work) = (0.0, 0.0);
+            for j in self.jobs.values().filter(|j| j.team == team && j.ended.is_none()) {
+                let need = j.pending() as f64 * j.spec.cpus;
+                let all = need + j.placed.len() as f64 * j.spec.cpus;
+                cpus += all;
+                work += all * j.spec.estimate_s;
+                let c = Candidate { job: j.id, need, spares: spares_s(ctx, j) };
+                open.entry(Reverse(j.spec.priority)).or_default().push(c);
+            }
+            let share = Ledger::quota(ctx.cfg, team, self.fleet_cpus).max(*used);
+            let per_s = share * cpus / work.max(1.0);
+            let mut at_once = share - used;
+            for (_, candidates) in open {
+                let need: f64 = candidates.iter().map(|c| c.need).sum();
+                reach.extend(in_reach(candidates, at_once, per_s));
+                at_once -= need;
+            }
+        }
+        reach
+    }
+
     pub(super) fn place(&mut self, ctx: &Ctx, calls: &mut Calls, rng: &mut SmallRng) {
         if ctx.now < self.next_place || ctx.types.is_empty() {
             return;
@@ -101,6 +128,7 @@
                 });
             }
         }
+        self.reach = self.find_reach(ctx, &used);
         // Jobs that may get tasks placed now, per team.
         let mut waiting: Vec<Vec<JobId>> = vec![Vec::new(); ctx.cfg.teams.len()];
         for j in self.jobs.values() {
@@ -195,7 +223,7 @@
             let j = &self.jobs[id];
             let within = used[team].0 + j.spec.cpus <= ctx.cfg.teams[team].cpus + 1e-9;
             let others = (0..used.len()).any(|t| t != team && beyond(t));
-            let may_stop = (within || others) && spare_s(ctx, j).is_some();
+            let may_stop = (within || others) && self.reach.contains_key(id);
             let priority = if may_stop { j.spec.priority } else { Priority::Low };
             (Reverse(priority), self.ledger.teams[team].degree())
         };
@@ -212,7 +240,7 @@
     /// least time to lose first; then the others, by degree.
     fn select(&self, ctx: &Ctx, ids: &[JobId]) -> Option<JobId> {
         let rank = |j: &RunJob| {
-            let spare = spare_s(ctx, j);
+            let spare = self.reach.get(&j.id).copied();
             let work = j.pending() as f64 * j.spec.cpus * j.spec.estimate_s;
             let quota = Ledger::quota(ctx.cfg, j.team, self.fleet_cpus).max(1.0);
             (spare.is_none(), spare.unwrap_or(0.0) + 3.0 * work / quota)
@@ -352,7 +380,7 @@
                         if !e.runs() || e.stop.is_some() || young {
                             continue;
                         }
-                        let spare = self.jobs.get(&key.0.job).and_then(|j| spare_s(ctx, j));
+                        let spare = self.reach.get(&key.0.job);
                         let rank = spare.map_or(i64::MIN, |s| -s as i64 / 30);
                         victims.push((n.priority, rank, Ms::MAX - e.since, m.id.clone(), *key, n));
                     }
@@ -369,7 +397,7 @@
                     - ctx.cfg.teams[n.team].cpus;
                 let lower = priority < j.spec.priority
                     && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9)
-                    && spare_s(ctx, j).is_some();
+                    && self.reach.contains_key(id);
                 let reclaim = n.team != j.team
                     && guarantee >= j.spec.cpus - 1e-9
                     && borrowed >= n.cpus - 1e-9;
