Of what is late, start the longest tasks first

Among jobs of a team and priority that are out of reach, the longest estimate now goes first; degrees break ties.

--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -243,7 +243,8 @@
             let spare = self.reach.get(&j.id).copied();
             let work = j.pending() as f64 * j.spec.cpus * j.spec.estimate_s;
             let quota = Ledger::quota(ctx.cfg, j.team, self.fleet_cpus).max(1.0);
-            (spare.is_none(), spare.unwrap_or(0.0) + 3.0 * work / quota)
+            // What is late has only its end to gain: the longest first.
+            (spare.is_none(), spare.map_or(-j.spec.estimate_s, |s| s + 3.0 * work / quota))
         };
         ids.iter()
             .filter_map(|id| self.jobs.get(id))
