--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -99,6 +99,8 @@
 const DEAR: f64 = 1.5;
 /// Workers' leases that a job waits for its first task before it goes first.
 const UNBEGUN_LEASES: WallMs = 9;
+/// Workers' leases that a job must have to lose to wait for room rather than stop others.
+const SOON_LEASES: f64 = 2.0;
 /// Failures in a row after which a machine gets no more work.
 const FAULTY: u32 = 4;
 /// The cloud takes no larger rental.
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -368,6 +368,9 @@
             let from_coming = coming.min(want);
             coming -= from_coming;
             want -= from_coming;
+            // A job with time to lose gets room as tasks end; each stop costs a save and a start.
+            let soon_ms = SOON_LEASES * ctx.cfg.lease_ms as f64;
+            let pressed = self.reach.get(id).is_some_and(|spare_s| spare_s * 1000.0 < soon_ms);
             let mut guarantee = (team.cpus - used[j.team].0).max(0.0);
             // Checkpointing work only: what cannot save would lose all it has done.
             let mut victims: Vec<Victim> = Vec::new();
@@ -398,7 +401,7 @@
                     - ctx.cfg.teams[n.team].cpus;
                 let lower = priority < j.spec.priority
                     && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9)
-                    && self.reach.contains_key(id);
+                    && pressed;
                 let reclaim = n.team != j.team
                     && guarantee >= j.spec.cpus - 1e-9
                     && borrowed >= n.cpus - 1e-9;
