Keep room for what waited longest, and a team's limit from narrow tasks

A job first in its team that the limit leaves too little room now keeps the rest of the team from it. Of jobs without a task for nine leases each gets one task before the ranking; for the oldest that fits nowhere a machine and its share of the limit are kept.

--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -150,7 +150,7 @@
         for id in reserved {
             let Some(team) = self.jobs.get(&id).map(|j| j.team) else { continue };
             while waiting[team].contains(&id) {
-                if !self.grant_one(ctx, id, &mut rooms, &mut used, rng) {
+                if !self.grant_one(ctx, id, u32::MAX, &mut rooms, &mut used, rng) {
                     break;
                 }
                 if self.jobs.get(&id).is_none_or(|j| j.pending() == 0) {
@@ -160,7 +160,7 @@
             }
         }
         // A large array may rank behind others for as long as more comes than can be done:
-        // one that has waited this long gets its first machine before the ranking.
+        // one that has waited this long gets its first task before the ranking.
         let mut unbegun: Vec<(WallMs, JobId, usize)> = waiting
             .iter()
             .flatten()
@@ -169,17 +169,29 @@
             .map(|j| (j.at, j.id, j.team))
             .collect();
         unbegun.sort();
+        let mut held = false;
         for (_, id, team) in unbegun {
-            if self.grant_one(ctx, id, &mut rooms, &mut used, rng)
-                && self.jobs.get(&id).is_none_or(|j| j.pending() == 0)
-            {
+            if !self.grant_one(ctx, id, 1, &mut rooms, &mut used, rng) {
+                if self.limit_room(ctx, id, &used) == 0 {
+                    waiting[team].clear();
+                } else if !std::mem::replace(&mut held, true) {
+                    // A machine, and what its team may use, is kept for the one that
+                    // waited longest.
+                    self.hold(ctx, id, &mut rooms, &mut used);
+                }
+            } else if self.jobs.get(&id).is_none_or(|j| j.pending() == 0) {
                 waiting[team].retain(|j| *j != id);
             }
         }
         while let Some((team, id)) = self.next_job(ctx, &waiting, &used) {
-            if !self.grant_one(ctx, id, &mut rooms, &mut used, rng) {
+            if !self.grant_one(ctx, id, u32::MAX, &mut rooms, &mut used, rng) {
                 waiting[team].retain(|j| *j != id);
                 blocked.push(id);
+                // Narrow tasks of lesser jobs would take what comes free of the limit, bit by
+                // bit, and a wide one would never find enough at once.
+                if self.limit_room(ctx, id, &used) == 0 {
+                    waiting[team].clear();
+                }
             } else if self.jobs.get(&id).is_none_or(|j| j.pending() == 0) {
                 waiting[team].retain(|j| *j != id);
             }
@@ -191,16 +203,46 @@
         self.preempt(ctx, calls, &blocked, &used, &rooms);
     }
 
-    /// Grants on one machine and notes it in the ledger; false if nothing fits.
+    /// Tasks of a job that its team's limit still allows.
+    fn limit_room(&self, ctx: &Ctx, id: JobId, used: &[(f64, f64)]) -> u32 {
+        let Some(j) = self.jobs.get(&id) else { return 0 };
+        let (team, used) = (&ctx.cfg.teams[j.team], used[j.team]);
+        fits(team.cpus_max - used.0, j.spec.cpus)
+            .min(fits(team.gpus_max - used.1, j.spec.gpus))
+            .min(j.pending())
+    }
+
+    /// Keeps the machine with most room that the job may use from others in this pass, so
+    /// that enough for one of its tasks comes free there.
+    fn hold(&self, ctx: &Ctx, id: JobId, rooms: &mut Vec<Room>, used: &mut [(f64, f64)]) {
+        let Some(j) = self.jobs.get(&id) else { return };
+        let allowed = |r: &Room| {
+            (j.spec.spot || !r.spot)
+                && j.spec.zone.as_ref().is_none_or(|z| *z == r.zone)
+                && ctx.types[r.type_index].allowed(&j.spec)
+        };
+        let best = (0..rooms.len())
+            .filter(|i| allowed(&rooms[*i]))
+            .max_by(|a, b| rooms[*a].cpus.total_cmp(&rooms[*b].cpus));
+        if let Some(i) = best {
+            rooms.swap_remove(i);
+        }
+        used[j.team].0 += j.spec.cpus;
+        used[j.team].1 += j.spec.gpus;
+    }
+
+    /// Grants up to `most` tasks on one machine and notes it in the ledger; false if
+    /// nothing fits.
     fn grant_one(
         &mut self,
         ctx: &Ctx,
         id: JobId,
+        most: u32,
         rooms: &mut Vec<Room>,
         used: &mut [(f64, f64)],
         rng: &mut SmallRng,
     ) -> bool {
-        let granted = self.grant(ctx, id, rooms, used, rng);
+        let granted = self.grant(ctx, id, most, rooms, used, rng);
         let Some(j) = self.jobs.get_mut(&id).filter(|_| granted > 0) else { return false };
         let cost = granted as f64 * j.spec.cpus * ctx.cfg.policy.lease_term_s;
         j.account.granted += cost;
@@ -267,20 +309,13 @@
         &mut self,
         ctx: &Ctx,
         id: JobId,
+        most: u32,
         rooms: &mut Vec<Room>,
         used: &mut [(f64, f64)],
         rng: &mut SmallRng,
     ) -> u32 {
-        let Some(j) = self.jobs.get_mut(&id) else { return 0 };
-        let team = &ctx.cfg.teams[j.team];
-        let (cpus, gpus) = used[j.team];
-        let want = j
-            .pending()
-            .min(fits(team.cpus_max - cpus, j.spec.cpus))
-            .min(fits(team.gpus_max - gpus, j.spec.gpus));
-        if want == 0 {
-            return 0;
-        }
+        let want = self.limit_room(ctx, id, used).min(most);
+        let Some(j) = self.jobs.get_mut(&id).filter(|_| want > 0) else { return 0 };
         let mut spread = Spread::default();
         if j.spec.one_zone || j.spec.spread {
             for m in self.machines.values() {
