--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -142,6 +142,9 @@
                 waiting[j.team].push(j.id);
             }
         }
+        for ids in &mut waiting {
+            self.rank(ctx, ids);
+        }
         let mut blocked: Vec<JobId> = Vec::new();
         // Were the room cleared for a job given by degree, those who were stopped would
         // take it back, and be stopped again.
@@ -272,36 +275,36 @@
         waiting
             .iter()
             .enumerate()
-            .filter_map(|(team, ids)| Some((team, self.select(ctx, ids)?)))
+            .filter_map(|(team, ids)| Some((team, *ids.first()?)))
             .map(|(team, id)| (rank(team, &id), team, id))
             .min_by(|(a, ..), (b, ..)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
             .map(|(_, team, id)| (team, id))
     }
 
     /// Within a team: jobs that can still be in time for an objective, the one with the
-    /// least time to lose first; then the others, by degree.
-    fn select(&self, ctx: &Ctx, ids: &[JobId]) -> Option<JobId> {
-        let rank = |j: &RunJob| {
+    /// least time to lose first; then the others, by degree. Ranked once a pass: what a
+    /// grant changes keeps a job where it is.
+    fn rank(&self, ctx: &Ctx, ids: &mut Vec<JobId>) {
+        let key = |j: &RunJob| {
             let spare = self.reach.get(&j.id).copied();
             let work = j.pending() as f64 * j.spec.cpus * j.spec.estimate_s;
             let quota = Ledger::quota(ctx.cfg, j.team, self.fleet_cpus).max(1.0);
             // What is late has only its end to gain: the longest first.
-            (spare.is_none(), spare.map_or(-j.spec.estimate_s, |s| s + 3.0 * work / quota))
+            let time = spare.map_or(-j.spec.estimate_s, |s| s + 3.0 * work / quota);
+            (Reverse(j.spec.priority), spare.is_none(), time, j.started, j.account.degree(), j.at)
         };
-        ids.iter()
-            .filter_map(|id| self.jobs.get(id))
-            .map(|j| (rank(j), j))
-            .min_by(|(ra, a), (rb, b)| {
-                b.spec
-                    .priority
-                    .cmp(&a.spec.priority)
-                    .then(ra.0.cmp(&rb.0))
-                    .then(ra.1.total_cmp(&rb.1))
-                    .then(a.started.cmp(&b.started))
-                    .then(a.account.degree().total_cmp(&b.account.degree()))
-                    .then(a.at.cmp(&b.at))
-            })
-            .map(|(_, j)| j.id)
+        let mut keyed: Vec<_> =
+            ids.iter().filter_map(|id| self.jobs.get(id)).map(|j| (key(j), j.id)).collect();
+        keyed.sort_by(|(a, _), (b, _)| {
+            (a.0, a.1)
+                .cmp(&(b.0, b.1))
+                .then(a.2.total_cmp(&b.2))
+                .then(a.3.cmp(&b.3))
+                .then(a.4.total_cmp(&b.4))
+                .then(a.5.cmp(&b.5))
+        });
+        ids.clear();
+        ids.extend(keyed.into_iter().map(|(_, id)| id));
     }
 
     /// Places tasks of one job on one machine; gives how many.
@@ -374,6 +377,28 @@
         placed
     }
 
+    /// Tasks that may be stopped for others, in the order of [`Victim`]. Checkpointing work
+    /// only: what cannot save would lose all it has done.
+    fn victims(&self, ctx: &Ctx) -> Vec<Victim> {
+        let mut victims: Vec<Victim> = Vec::new();
+        for m in self.machines.values().filter(|m| self.usable(ctx, m)) {
+            for (key, e) in &m.entries {
+                let Some(n) = e.need.filter(|n| n.save_s.is_some()) else { continue };
+                // Stopping what has just begun costs more than it ran.
+                let ran = e.running_since.map_or(0, |t| ctx.now - t) as f64 / 1000.0;
+                let young = n.save_s.is_some_and(|save| ran < 4.0 * save);
+                if !e.runs() || e.stop.is_some() || young {
+                    continue;
+                }
+                let spare = self.reach.get(&key.0.job);
+                let rank = spare.map_or(i64::MIN, |s| -s as i64 / 30);
+                victims.push((n.priority, rank, Ms::MAX - e.since, m.id.clone(), *key, n));
+            }
+        }
+        victims.sort_by(|a, b| (a.0, a.1, a.2, &a.3, a.4).cmp(&(b.0, b.1, b.2, &b.3, b.4)));
+        victims
+    }
+
     /// Makes room for work that must not wait, at the cost of work that can save.
     fn preempt(
         &mut self,
@@ -394,6 +419,7 @@
             .sum();
         let mut coming = free + leaving;
         let mut freed: BTreeMap<usize, f64> = BTreeMap::new();
+        let mut victims: Option<Vec<Victim>> = None;
         let mut stopped = 0;
         for id in blocked {
             let Some(j) = self.jobs.get(id) else { continue };
@@ -407,34 +433,19 @@
             let soon_ms = SOON_LEASES * ctx.cfg.lease_ms as f64;
             let pressed = self.reach.get(id).is_some_and(|spare_s| spare_s * 1000.0 < soon_ms);
             let mut guarantee = (team.cpus - used[j.team].0).max(0.0);
-            // Checkpointing work only: what cannot save would lose all it has done.
-            let mut victims: Vec<Victim> = Vec::new();
-            if want > 1e-9 {
-                for m in self.machines.values().filter(|m| self.usable(ctx, m)) {
-                    for (key, e) in &m.entries {
-                        let Some(n) = e.need.filter(|n| n.save_s.is_some()) else { continue };
-                        // Stopping what has just begun costs more than it ran.
-                        let ran = e.running_since.map_or(0, |t| ctx.now - t) as f64 / 1000.0;
-                        let young = n.save_s.is_some_and(|save| ran < 4.0 * save);
-                        if !e.runs() || e.stop.is_some() || young {
-                            continue;
-                        }
-                        let spare = self.reach.get(&key.0.job);
-                        let rank = spare.map_or(i64::MIN, |s| -s as i64 / 30);
-                        victims.push((n.priority, rank, Ms::MAX - e.since, m.id.clone(), *key, n));
-                    }
-                }
-                victims.sort_by(|a, b| (a.0, a.1, a.2, &a.3, a.4).cmp(&(b.0, b.1, b.2, &b.3, b.4)));
+            if want <= 1e-9 || !(pressed || guarantee >= j.spec.cpus - 1e-9) {
+                continue;
             }
+            let victims = victims.get_or_insert_with(|| self.victims(ctx));
             let mut cleared = false;
-            for (priority, _, _, machine, key, n) in victims {
+            for (priority, _, _, machine, key, n) in victims.iter() {
                 if want <= 1e-9 {
                     break;
                 }
                 let borrowed = used[n.team].0
                     - freed.get(&n.team).copied().unwrap_or(0.0)
                     - ctx.cfg.teams[n.team].cpus;
-                let lower = priority < j.spec.priority
+                let lower = *priority < j.spec.priority
                     && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9)
                     && pressed;
                 let reclaim = n.team != j.team
@@ -443,10 +454,9 @@
                 if !lower && !reclaim {
                     continue;
                 }
-                let Some(e) = self.machines.get_mut(&machine).and_then(|m| m.entries.get_mut(&key))
-                else {
-                    continue;
-                };
+                let m = self.machines.get_mut(machine);
+                let e = m.and_then(|m| m.entries.get_mut(key)).filter(|e| e.stop.is_none());
+                let Some(e) = e else { continue };
                 e.stop = n.save_s.map(|s| s + 1.0);
                 e.stop_sent = None;
                 want -= n.cpus;
