--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -282,8 +282,8 @@
     }
 
     /// Within a team: jobs that can still be in time for an objective, the one with the
-    /// least time to lose first; then the others, by degree. Ranked once a pass: what a
-    /// grant changes keeps a job where it is.
+    /// least time to lose first; then the others. Ranked once a pass: what a grant changes
+    /// keeps a job where it is.
     fn rank(&self, ctx: &Ctx, ids: &mut Vec<JobId>) {
         let key = |j: &RunJob| {
             let spare = self.reach.get(&j.id).copied();
@@ -318,6 +318,7 @@
         rng: &mut SmallRng,
     ) -> u32 {
         let want = self.limit_room(ctx, id, used).min(most);
+        let need = self.need(id);
         let Some(j) = self.jobs.get_mut(&id).filter(|_| want > 0) else { return 0 };
         let mut spread = Spread::default();
         if j.spec.one_zone || j.spec.spread {
@@ -337,14 +338,6 @@
         };
         let machine = rooms[at].machine.clone();
         let Some(m) = self.machines.get_mut(&machine) else { return 0 };
-        let need = Need {
-            team: j.team,
-            cpus: j.spec.cpus,
-            gpus: j.spec.gpus,
-            memory_gb: j.spec.memory_gb,
-            priority: j.spec.priority,
-            save_s: (j.spec.checkpoint_s > 0.0).then_some(j.spec.save_s),
-        };
         let mut placed = 0;
         while placed < n {
             let Some(index) = j.next_pending() else { break };
@@ -357,7 +350,7 @@
                 (task, attempt),
                 Entry {
                     place: Place::Assigned { at: ctx.now },
-                    need: Some(need),
+                    need,
                     stop: None,
                     stop_sent: None,
                     since: ctx.now,
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 impl Reign {
-    fn need(&self, job: JobId) -> Option<Need> {
+    pub(super) fn need(&self, job: JobId) -> Option<Need> {
         let j = self.jobs.get(&job)?;
         Some(Need {
             team: j.team,
