Look through the machines at set times, not at every input

Cause: a profile of the leader at 605 and 1033 machines (simulated) shows over four fifths of its time in Reign::tick, which went through all machines, and through all tasks when a job had ended, at every report, poll and answer; HTTP and JSON take less than a tenth. Excluded: the state service's and the cloud's rates, memory (25 MB of 188).

Leases, silence, returns, loss of workers and ended jobs are now looked at every twentieth of report_s; jobs that are complete or have unwritten completions are kept in sets; completions go out in turn, so that no job starves; a transaction is bounded by its whole encoded size (several roster parts of 16 KiB would have passed 64 KiB and been refused for ever); a roster part's size is kept, not encoded anew for each machine; returned machines are bounded by memory; silence counts from when a process that stood still goes on; a queue of requests by memory, since 512 refuses workers that all come at once.

--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -158,8 +158,7 @@
             });
         }
         self.with_reign(|reign, ctx, calls, rng| reign.tick(ctx, calls, rng));
-        if self.with_reign(|reign, ctx, _, _| ctx.entitled && reign.lost_workers(ctx)) == Some(true)
-        {
+        if self.with_reign(|reign, ctx, _, _| ctx.entitled && reign.lost_workers) == Some(true) {
             // Another node may still reach them, and their leases run.
             self.calls.log(Level::Info, "resigned", "why=\"workers silent\"".into());
             self.election.resign(self.now, self.cfg.lease_ms * 2);
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 mod placing;
 mod renting;
@@ -105,8 +105,12 @@
 const FAULTY: u32 = 4;
 /// The cloud takes no larger rental.
 const RENT_MOST: usize = 50;
-/// Machines returned lately; their late reports are not taken for new machines.
-const RETURNED_KEPT: usize = 512;
+/// Nor more names in one release.
+const RELEASE_MOST: usize = 100;
+/// Machines returned lately, per megabyte; their late reports are not taken for new machines.
+const RETURNED_PER_MB: f64 = 40.0;
+/// Bytes of one transaction, of the 64 KiB that the state service takes.
+const TXN_BYTES: usize = 56 * 1024;
 /// Orders in one response, to stay under the line limit.
 const ORDERS_MOST: usize = 200;
 
@@ -114,6 +118,34 @@
 /// to lose or none to win, youngest first.
 type Victim = (Priority, i64, Ms, MachineId, (TaskId, Attempt), Need);
 
+/// The names seen last, up to a bound.
+struct Recent {
+    order: VecDeque<MachineId>,
+    names: HashSet<MachineId>,
+    most: usize,
+}
+
+impl Recent {
+    fn new(most: usize) -> Self {
+        Recent { order: VecDeque::new(), names: HashSet::new(), most: most.max(64) }
+    }
+
+    fn contains(&self, id: &MachineId) -> bool {
+        self.names.contains(id)
+    }
+
+    fn add(&mut self, id: &MachineId) {
+        if self.names.insert(id.clone()) {
+            self.order.push_back(id.clone());
+        }
+        if self.order.len() > self.most {
+            if let Some(old) = self.order.pop_front() {
+                self.names.remove(&old);
+            }
+        }
+    }
+}
+
 pub struct Reign {
     pub token: Token,
     pub stamp: u64,
@@ -138,6 +170,8 @@
     peak: f64,
     peak_at: Ms,
     roster: Vec<Vec<RosterEntry>>,
+    /// Encoded size of each part.
+    roster_bytes: Vec<usize>,
     roster_dirty: BTreeSet<usize>,
     stamps: HashMap<String, u64>,
     refresh: BTreeMap<String, bool>,
@@ -148,6 +182,18 @@
     attempts: u32,
     changed: bool,
     next_place: Ms,
+    next_watch: Ms,
+    last_tick: Ms,
+    /// When this process last went on after it stood still: silence counts from there.
+    woke: Ms,
+    /// Most workers went silent though this process ran all the time.
+    pub lost_workers: bool,
+    /// Jobs whose tasks are all done and whose end is not written yet.
+    complete: BTreeSet<JobId>,
+    /// Jobs with completions that are not written yet.
+    unwritten: BTreeSet<JobId>,
+    /// The job after which the next flush goes on.
+    written_last: JobId,
     /// The last pass left work that found no room.
     short_of_room: bool,
     /// When a job's or a machine's back-off ends.
@@ -157,7 +203,7 @@
     /// Jobs that can still be in time, with the seconds that each can lose.
     reach: HashMap<JobId, f64>,
     rental: Rental,
-    returned: VecDeque<MachineId>,
+    returned: Recent,
     /// Jobs that workers told of and the table does not hold.
     pub unknown: BTreeSet<JobId>,
     pub next_progress: Ms,
@@ -187,6 +233,7 @@
             peak: f64::MAX,
             peak_at: ctx.now,
             roster: Vec::new(),
+            roster_bytes: Vec::new(),
             roster_dirty: BTreeSet::new(),
             stamps: HashMap::new(),
             refresh: BTreeMap::new(),
@@ -197,12 +244,19 @@
             attempts: 0,
             changed: true,
             next_place: 0,
+            next_watch: 0,
+            last_tick: ctx.now,
+            woke: 0,
+            lost_workers: false,
+            complete: BTreeSet::new(),
+            unwritten: BTreeSet::new(),
+            written_last: JobId(0),
             short_of_room: false,
             wake_at: Ms::MAX,
             reserved: BTreeMap::new(),
             reach: HashMap::new(),
             rental: Rental::default(),
-            returned: VecDeque::new(),
+            returned: Recent::new((ctx.cfg.memory_mb * RETURNED_PER_MB) as usize),
             unknown: BTreeSet::new(),
             next_progress: 0,
         };
@@ -221,26 +275,17 @@
         if !self.loaded() {
             return;
         }
-        let lapse_after = ctx.cfg.surely(ctx.cfg.lease_ms);
-        let silent_after = ctx.cfg.report_ms * 3;
-        let ids: Vec<MachineId> = self.machines.keys().cloned().collect();
-        for id in &ids {
-            let Some(m) = self.machines.get_mut(id) else { continue };
-            if !m.lapsed && ctx.now > m.renewed + lapse_after {
-                let had = m.entries.len();
-                let was_up = m.last_checkin.is_some();
-                let changes = m.lapse();
-                if was_up || had > 0 {
-                    let detail = format!("machine={id} zone={} tasks={had}", m.zone);
-                    calls.log(Level::Info, "machine_lapsed", detail);
-                }
-                self.changed = true;
-                self.apply(ctx, calls, id, changes);
-            } else if m.last_checkin.is_some_and(|t| ctx.now > t + silent_after) {
-                self.withdraw(id);
-            }
+        if ctx.now > self.last_tick + ctx.cfg.report_ms {
+            self.woke = ctx.now;
+        }
+        self.last_tick = ctx.now;
+        if ctx.now >= self.next_watch {
+            self.next_watch = ctx.now + ctx.cfg.report_ms / 20;
+            self.watch_machines(ctx, calls);
+            self.lost_workers = self.find_lost(ctx);
+            self.finish_jobs();
+            self.returns(ctx, calls);
         }
-        self.finish_jobs();
         if ctx.now >= self.round_ends {
             self.round_ends = ctx.now + (ctx.cfg.policy.round_s * 1000.0) as Ms;
             self.ledger.end_round();
@@ -259,6 +304,39 @@
         self.cloud(ctx, calls);
     }
 
+    /// Leases that have surely ended, and machines that went silent. Not at every input:
+    /// their number times that of the machines would be all that a leader gets done.
+    fn watch_machines(&mut self, ctx: &Ctx, calls: &mut Calls) {
+        let lapse_after = ctx.cfg.surely(ctx.cfg.lease_ms);
+        let silent_after = ctx.cfg.report_ms * 3;
+        let lapses = |m: &Machine| !m.lapsed && ctx.now > m.renewed + lapse_after;
+        let woke = self.woke;
+        let silent =
+            |m: &Machine| m.last_checkin.is_some_and(|t| ctx.now > t.max(woke) + silent_after);
+        let due: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| lapses(m) || (silent(m) && !m.entries.is_empty()))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in &due {
+            let Some(m) = self.machines.get_mut(id) else { continue };
+            if !lapses(m) {
+                self.withdraw(id);
+                continue;
+            }
+            let had = m.entries.len();
+            let was_up = m.last_checkin.is_some();
+            let changes = m.lapse();
+            if was_up || had > 0 {
+                let detail = format!("machine={id} zone={} tasks={had}", m.zone);
+                calls.log(Level::Info, "machine_lapsed", detail);
+            }
+            self.changed = true;
+            self.apply(ctx, calls, id, changes);
+        }
+    }
+
     /// One line a round: how the machines are used.
     fn log_round(&self, calls: &mut Calls) {
         let mut count = [0usize; 3];
@@ -296,12 +374,18 @@
         if over.is_empty() {
             return;
         }
-        let present: BTreeSet<JobId> =
-            self.machines.values().flat_map(|m| m.entries.keys().map(|(t, _)| t.job)).collect();
+        let mut present: BTreeSet<JobId> = BTreeSet::new();
+        for (t, _) in self.machines.values().flat_map(|m| m.entries.keys()) {
+            if over.binary_search(&t.job).is_ok() {
+                present.insert(t.job);
+            }
+        }
         over.retain(|j| !present.contains(j));
         for job in over {
             if let Some(j) = self.jobs.remove(&job) {
                 self.cleanup.extend(j.parts.iter().map(|p| (job, *p)));
+                self.complete.remove(&job);
+                self.unwritten.remove(&job);
                 for p in &j.parts {
                     self.stamps.remove(&done_key(job, *p));
                 }
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -70,7 +70,6 @@
             self.rental.list_in_flight = true;
             calls.cloud(Purpose::List { token: self.token }, CloudOp::List { after }, timeout);
         }
-        self.returns(ctx, calls, timeout);
         if ctx.now >= self.rental.next_plan {
             self.rental.next_plan = ctx.now + ctx.cfg.report_ms / 2;
             self.plan(ctx, calls);
@@ -218,19 +217,22 @@
     }
 
     /// Gives back what is drained, failed or lost.
-    fn returns(&mut self, ctx: &Ctx, calls: &mut Calls, timeout: Ms) {
-        if self.rental.release_in_flight || ctx.now < self.rental.release_not_before {
+    pub(super) fn returns(&mut self, ctx: &Ctx, calls: &mut Calls) {
+        let ready = ctx.entitled && !ctx.types.is_empty();
+        let busy = self.rental.release_in_flight || ctx.now < self.rental.release_not_before;
+        if !ready || busy {
             return;
         }
         let boot_ms = ctx.types.iter().map(|t| t.boot_s).fold(1.0, f64::max) * 1000.0;
         let lag = ctx.cfg.list_lag_ms;
         self.note_cuts(ctx);
+        let woke = self.woke;
         let mut go = Vec::new();
-        for m in self.machines.values_mut() {
+        for m in self.machines.values() {
             let age = ctx.now - m.known_since;
             let seen = m.listed.is_some_and(|(_, at)| ctx.now <= at + lag * 4 + 4000);
             let failed = matches!(m.listed, Some((ListedState::Failed, _)));
-            let silence = ctx.now - m.heard_at.unwrap_or(m.known_since);
+            let silence = ctx.now - m.heard_at.unwrap_or(m.known_since).max(woke);
             // One that reports and does not hear is of no use.
             let up = m.last_checkin.is_some()
                 && !m.lapsed
@@ -258,22 +260,24 @@
             } else {
                 continue;
             };
-            m.returning = Returning::Releasing;
-            go.push(m.id.clone());
-            calls.log(Level::Info, "machine_return", format!("machine={} why={why:?}", m.id));
-            if go.len() >= 100 {
+            go.push((m.id.clone(), why));
+            if go.len() >= RELEASE_MOST {
                 break;
             }
         }
-        if go.is_empty() {
+        if go.is_empty() || !calls.cloud.take(ctx.now, 1.0, Class::Completion) {
             return;
         }
-        if !calls.cloud.take(ctx.now, 1.0, Class::Completion) {
-            return;
+        for (id, why) in &go {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.returning = Returning::Releasing;
+            }
+            calls.log(Level::Info, "machine_return", format!("machine={id} why={why:?}"));
         }
+        let go: Vec<MachineId> = go.into_iter().map(|(id, _)| id).collect();
         self.rental.release_in_flight = true;
         let purpose = Purpose::Release { token: self.token, machines: go.clone() };
-        calls.cloud(purpose, CloudOp::Release(go), timeout);
+        calls.cloud(purpose, CloudOp::Release(go), ctx.cfg.lease_ms / 2);
     }
 
     /// Zones most of whose machines went silent: cut off rather than broken. They
@@ -295,12 +299,12 @@
 
     /// Whether this node seems to have lost the workers: most of those that reported to
     /// it went silent, in its own zone too, well before their leases end.
-    pub fn lost_workers(&self, ctx: &Ctx) -> bool {
+    pub(super) fn find_lost(&self, ctx: &Ctx) -> bool {
         let silent_after = ctx.cfg.lease_ms * 2 / 5;
         let (mut all, mut silent, mut near, mut near_silent) = (0, 0, 0, 0);
         for m in self.machines.values().filter(|m| m.returning == Returning::No) {
             let Some(at) = m.last_checkin else { continue };
-            let is_silent = (ctx.now > at + silent_after) as usize;
+            let is_silent = (ctx.now > at.max(self.woke) + silent_after) as usize;
             all += 1;
             silent += is_silent;
             if m.zone == ctx.cfg.zone {
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -63,7 +63,12 @@
                     return None;
                 };
                 if why == Why::Done {
-                    j.mark_done(task.index);
+                    if j.mark_done(task.index) {
+                        self.unwritten.insert(task.job);
+                    }
+                    if j.complete() {
+                        self.complete.insert(task.job);
+                    }
                     j.errors = 0;
                     m.faults = 0;
                 }
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -35,6 +35,7 @@
                     };
                     if self.roster.len() <= part {
                         self.roster.resize(part + 1, Vec::new());
+                        self.roster_bytes.resize(part + 1, 0);
                     }
                     for e in &entries {
                         let mut m =
@@ -47,6 +48,7 @@
                         m.renewed = self.since;
                         self.machines.insert(e.id.clone(), m);
                     }
+                    self.roster_bytes[part] = i.value.len();
                     self.roster[part] = entries;
                 }
                 if !more {
@@ -104,6 +106,9 @@
                 j.durable.add_part(part, &text);
                 j.parts.insert(part);
             }
+            if j.complete() {
+                self.complete.insert(job);
+            }
         }
     }
 
--- a/crates/basaltrail-core/src/reign/writing.rs
+++ b/crates/basaltrail-core/src/reign/writing.rs
@@ -1,6 +1,57 @@
 //! What is written: the roster, completions, ends, the ledger.
 
 use super::*;
+use std::ops::Bound::{Excluded, Unbounded};
+
+/// A transaction that is filled up to the limits of the state service. One that passes
+/// them is refused for ever, since the same would be written again.
+struct Txn {
+    conds: Vec<(String, u64)>,
+    puts: Vec<Put>,
+    removes: Vec<String>,
+    most: usize,
+    bytes: usize,
+}
+
+impl Txn {
+    /// What a key and its stamp, or a change, take at the most beside the value.
+    const FRAME: usize = 128;
+
+    fn new(condition: (String, u64), most: usize) -> Self {
+        Txn {
+            conds: vec![condition],
+            puts: Vec::new(),
+            removes: Vec::new(),
+            most,
+            bytes: Self::FRAME,
+        }
+    }
+
+    /// Whether so many changes with so much in them still fit. The first always do.
+    fn room(&self, changes: usize, bytes: usize) -> bool {
+        let have = self.puts.len() + self.removes.len();
+        have + changes <= self.most
+            && (have == 0 || self.bytes + changes * 2 * Self::FRAME + bytes <= TXN_BYTES)
+    }
+
+    fn put(&mut self, stamp: u64, key: String, value: String) {
+        self.bytes += 2 * Self::FRAME + value.len();
+        self.conds.push((key.clone(), stamp));
+        self.puts.push(Put { key, value, loan: None });
+    }
+
+    fn put_end(&mut self, job: JobId, stamp: u64) {
+        self.bytes += 3 * Self::FRAME;
+        self.conds.push((active_key(job), stamp));
+        self.removes.push(active_key(job));
+        self.puts.push(Put { key: final_key(job), value: encode(&Final::Done), loan: None });
+    }
+
+    fn remove(&mut self, key: String) {
+        self.bytes += Self::FRAME;
+        self.removes.push(key);
+    }
+}
 
 impl Reign {
     pub(super) fn enroll(&mut self, ctx: &Ctx, machine: &MachineId) {
@@ -14,14 +65,16 @@
         let most = ctx.cfg.value_bytes * 9 / 10;
         let size = encode(&entry).len() + 1;
         let part = self
-            .roster
+            .roster_bytes
             .iter()
-            .position(|p| encode(p).len() + size <= most)
+            .position(|bytes| bytes + size <= most)
             .unwrap_or(self.roster.len());
         if part == self.roster.len() {
             self.roster.push(Vec::new());
+            self.roster_bytes.push(2);
         }
         self.roster[part].push(entry);
+        self.roster_bytes[part] += size;
         self.roster_dirty.insert(part);
         m.part = Some(part);
     }
@@ -33,12 +86,10 @@
         self.apply(ctx, calls, machine, changes);
         if let Some(part) = m.part {
             self.roster[part].retain(|e| e.id != *machine);
+            self.roster_bytes[part] = encode(&self.roster[part]).len();
             self.roster_dirty.insert(part);
         }
-        self.returned.push_back(machine.clone());
-        if self.returned.len() > RETURNED_KEPT {
-            self.returned.pop_front();
-        }
+        self.returned.add(machine);
         self.changed = true;
     }
 
@@ -59,114 +110,106 @@
         }
         let now = ctx.now;
         let mut f = Flush::default();
-        let mut conds = vec![(LEADER.to_string(), self.stamp)];
-        let mut puts = Vec::new();
-        let mut removes = Vec::new();
-        let mut bytes = 0;
-        let most = ctx.cfg.txn_ops.max(2);
-        let byte_limit = 48 * 1024;
+        let mut t = Txn::new((LEADER.to_string(), self.stamp), ctx.cfg.txn_ops.max(2));
         let mut paid = |n: f64, class| calls.writes.take(now, n, class);
-        let mut put = |key: String, value: String, f: &mut Flush, conds: &mut Vec<_>| {
-            conds.push((key.clone(), self.stamps.get(&key).copied().unwrap_or(0)));
-            f.keys.push(key.clone());
-            puts.push(Put { key, value, loan: None });
-        };
-        let mut ops = 0;
-        for (id, j) in self.jobs.iter_mut() {
-            if ops + 2 > most || !j.complete() || j.ended.is_some() {
-                continue;
-            }
+        for id in &self.complete {
+            let Some(j) = self.jobs.get(id).filter(|j| j.ended.is_none()) else { continue };
             if !ctx.table.active.contains_key(id) || self.unknown.contains(id) {
                 continue;
             }
-            if !paid(2.0, Class::Completion) {
+            if !t.room(2, 128) || !paid(2.0, Class::Completion) {
                 break;
             }
-            ops += 2;
-            conds.push((active_key(*id), j.stamp));
+            // The end has no stamp of its own to compare: a job that is still active has
+            // no end yet.
             f.ends.push(*id);
-            removes.push(active_key(*id));
+            t.put_end(*id, j.stamp);
         }
-        // The ends' values go in below, without a stamp of their own to compare: a job
-        // that is still active has no end yet.
+        let stamp = |key: &str| self.stamps.get(key).copied().unwrap_or(0);
         for part in self.roster_dirty.clone() {
             let key = roster_key(part);
-            if ops < most && !self.refresh.contains_key(&key) && paid(1.0, Class::Door) {
-                ops += 1;
-                self.roster_dirty.remove(&part);
-                let value = encode(&self.roster[part]);
-                bytes += value.len();
-                f.roster.push((part, self.roster[part].iter().map(|e| e.id.clone()).collect()));
-                put(key, value, &mut f, &mut conds);
+            if self.refresh.contains_key(&key)
+                || !t.room(1, self.roster_bytes[part])
+                || !paid(1.0, Class::Door)
+            {
+                continue;
             }
+            self.roster_dirty.remove(&part);
+            f.roster.push((part, self.roster[part].iter().map(|e| e.id.clone()).collect()));
+            f.keys.push(key.clone());
+            t.put(stamp(&key), key, encode(&self.roster[part]));
         }
         if self.ledger_due
-            && ops < most
             && !self.refresh.contains_key(LEDGER)
+            && t.room(1, 4096)
             && paid(1.0, Class::Completion)
         {
-            {
-                ops += 1;
-                self.ledger_due = false;
-                f.ledger = true;
-                let leases_end = ctx.wall + (ctx.cfg.policy.lease_term_s * 1000.0) as WallMs;
-                let value = encode(&self.ledger.record(ctx.cfg, leases_end));
-                bytes += value.len();
-                put(LEDGER.into(), value, &mut f, &mut conds);
-            }
+            self.ledger_due = false;
+            f.ledger = true;
+            let leases_end = ctx.wall + (ctx.cfg.policy.lease_term_s * 1000.0) as WallMs;
+            f.keys.push(LEDGER.into());
+            t.put(stamp(LEDGER), LEDGER.into(), encode(&self.ledger.record(ctx.cfg, leases_end)));
         }
-        if self.home_due && ops < most && !self.refresh.contains_key(HOME) && paid(1.0, Class::Rest)
+        if self.home_due
+            && !self.refresh.contains_key(HOME)
+            && t.room(1, 256)
+            && paid(1.0, Class::Rest)
         {
-            ops += 1;
             self.home_due = false;
             f.home = true;
-            put(HOME.into(), encode(&self.home), &mut f, &mut conds);
+            f.keys.push(HOME.into());
+            t.put(stamp(HOME), HOME.into(), encode(&self.home));
         }
-        if now >= self.next_parts {
+        if now >= self.next_parts && !self.unwritten.is_empty() {
+            // Were the lowest ids written first each time, the others' completions would
+            // wait for as long as more comes than can be written.
+            let last = self.written_last;
+            let after = self.unwritten.range((Excluded(last), Unbounded));
+            let order: Vec<JobId> = after.chain(self.unwritten.range(..=last)).copied().collect();
             let mut left = false;
-            for (id, j) in self.jobs.iter_mut() {
+            'jobs: for id in order {
+                let Some(j) = self.jobs.get_mut(&id) else {
+                    self.unwritten.remove(&id);
+                    continue;
+                };
                 if j.ended.is_some() || j.complete() {
+                    self.unwritten.remove(&id);
                     continue;
                 }
                 for part in j.dirty.clone() {
-                    let key = done_key(*id, part);
+                    let key = done_key(id, part);
                     if self.refresh.contains_key(&key) {
                         continue;
                     }
-                    if ops >= most || bytes > byte_limit || !paid(1.0, Class::Rest) {
+                    let text = j.done.part(part);
+                    if !t.room(1, text.len()) || !paid(1.0, Class::Rest) {
                         left = true;
-                        break;
+                        break 'jobs;
                     }
-                    ops += 1;
                     j.dirty.remove(&part);
                     j.parts.insert(part);
-                    let text = j.done.part(part);
-                    let value = encode(&text);
-                    bytes += value.len();
-                    f.parts.push((*id, part, text));
-                    put(key, value, &mut f, &mut conds);
+                    f.keys.push(key.clone());
+                    t.put(stamp(&key), key, encode(&text));
+                    f.parts.push((id, part, text));
+                }
+                self.written_last = id;
+                if j.dirty.is_empty() {
+                    self.unwritten.remove(&id);
                 }
             }
             if !left {
                 self.next_parts = now + ctx.cfg.report_ms;
             }
         }
-        let mut cleaned = Vec::new();
-        for (job, part) in &self.cleanup {
-            if ops >= most || !paid(1.0, Class::Rest) {
+        while let Some((job, part)) = self.cleanup.first().copied() {
+            if !t.room(1, 0) || !paid(1.0, Class::Rest) {
                 break;
             }
-            ops += 1;
-            removes.push(done_key(*job, *part));
-            cleaned.push((*job, *part));
-        }
-        for c in &cleaned {
-            self.cleanup.remove(c);
-        }
-        f.cleaned = cleaned;
-        for id in &f.ends {
-            puts.push(Put { key: final_key(*id), value: encode(&Final::Done), loan: None });
+            self.cleanup.pop_first();
+            t.remove(done_key(job, part));
+            f.cleaned.push((job, part));
         }
+        let Txn { conds, puts, removes, .. } = t;
         if puts.is_empty() && removes.is_empty() {
             return;
         }
@@ -185,6 +228,7 @@
         for (job, part, _) in f.parts {
             if let Some(j) = self.jobs.get_mut(&job) {
                 j.dirty.insert(part);
+                self.unwritten.insert(job);
             }
         }
         self.roster_dirty.extend(f.roster.into_iter().map(|(p, _)| p));
--- a/crates/basaltrail/src/driver.rs
+++ b/crates/basaltrail/src/driver.rs
@@ -14,8 +14,11 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// Requests that may wait for the loop.
-const QUEUE: usize = 512;
+/// Requests that may wait for the loop, per megabyte. After a stall every worker asks at
+/// once: one that is refused asks another node and comes back only after that.
+const QUEUE_PER_MB: f64 = 8.0;
+/// Answers of our own calls that may wait.
+const ANSWERS: usize = 512;
 const TICK: Duration = Duration::from_millis(50);
 
 struct Driver {
@@ -34,8 +37,9 @@
 pub async fn run(settings: Process) -> std::io::Result<()> {
     let listener = TcpListener::bind(settings.listen).await?;
     let peer_listener = TcpListener::bind(settings.peer_listen).await?;
-    let (asks, mut from_door) = mpsc::channel(QUEUE);
-    let (answers, mut from_calls) = mpsc::channel(QUEUE);
+    let queue = (settings.core.memory_mb * QUEUE_PER_MB).max(64.0) as usize;
+    let (asks, mut from_door) = mpsc::channel(queue);
+    let (answers, mut from_calls) = mpsc::channel(ANSWERS);
     let (hints, mut from_peers) = mpsc::channel(4);
     let (frame, newest) = watch::channel(Vec::new());
     let ready = Arc::new(AtomicBool::new(false));
