The roster says which machines hold nothing; a takeover passes over them

Cause: after a takeover all older jobs wait until every machine of the roster has reported or a lease has passed. With a thousand machines some are always booting, or dead for longer than a lease and not returned yet, so that wait was a full lease each time.

An entry is written as free when the machine is rented or found, and when its lease has surely ended; before the first start there the roster must durably say otherwise, as it must durably hold the machine already. A leader that reads free may rely on it: later starts of an earlier leader would have needed its own write, and that fails by the stamp of c/leader. Kept trace: takeover_passes_over_free_machines.

--- a/crates/basaltrail-core/src/records.rs
+++ b/crates/basaltrail-core/src/records.rs
@@ -42,6 +42,10 @@
     pub zone: String,
     #[serde(rename = "s")]
     pub spot: bool,
+    /// Nothing runs there, and nothing is started before this is taken back. An entry
+    /// that does not say so may hold anything.
+    #[serde(rename = "f", default)]
+    pub free: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -334,6 +334,7 @@
             }
             self.changed = true;
             self.apply(ctx, calls, id, changes);
+            self.note_free(id, true);
         }
     }
 
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -182,6 +182,7 @@
             self.drain(&r.machine);
         }
         self.apply(ctx, calls, &r.machine, changes);
+        self.note_free(&r.machine, false);
         self.note_images(ctx, &r.machine);
         // A machine that was not accounted for, or late, has become one to place on, and
         // its room may be what a waiting job lacks.
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -41,9 +41,9 @@
                         let mut m =
                             Machine::new(e.id.clone(), &e.machine_type, &e.zone, e.spot, ctx.now);
                         // Until it reports with our token, an earlier leader's tasks may
-                        // be on it.
-                        m.accounted = false;
-                        m.durable = true;
+                        // be on it, unless the roster says that nothing is.
+                        m.accounted = e.free;
+                        m.durable = !e.free;
                         m.part = Some(part);
                         m.renewed = self.since;
                         self.machines.insert(e.id.clone(), m);
--- a/crates/basaltrail-core/src/reign/writing.rs
+++ b/crates/basaltrail-core/src/reign/writing.rs
@@ -54,13 +54,15 @@
 }
 
 impl Reign {
+    /// Puts a machine on the roster, as one where nothing runs yet.
     pub(super) fn enroll(&mut self, ctx: &Ctx, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine).filter(|m| m.part.is_none()) else { return };
-        let entry = RosterEntry {
+        let mut entry = RosterEntry {
             id: m.id.clone(),
             machine_type: m.machine_type.clone(),
             zone: m.zone.clone(),
             spot: m.spot,
+            free: false,
         };
         let most = ctx.cfg.value_bytes * 9 / 10;
         let size = encode(&entry).len() + 1;
@@ -73,12 +75,26 @@
             self.roster.push(Vec::new());
             self.roster_bytes.push(2);
         }
+        entry.free = true;
         self.roster[part].push(entry);
         self.roster_bytes[part] += size;
         self.roster_dirty.insert(part);
         m.part = Some(part);
     }
 
+    /// Notes on the roster whether anything may run on a machine. As long as it says that
+    /// nothing does, or may come to say so, nothing is started there: the next leader
+    /// does not wait for a word of it.
+    pub(super) fn note_free(&mut self, machine: &MachineId, free: bool) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(part) = m.part else { return };
+        let entry = self.roster[part].iter_mut().find(|e| e.id == *machine);
+        let Some(entry) = entry.filter(|e| e.free != free) else { return };
+        entry.free = free;
+        m.durable = false;
+        self.roster_dirty.insert(part);
+    }
+
     /// The machine is gone for certain: its release was answered.
     pub(super) fn strike(&mut self, ctx: &Ctx, calls: &mut Calls, machine: &MachineId) {
         let Some(mut m) = self.machines.remove(machine) else { return };
@@ -135,7 +151,8 @@
                 continue;
             }
             self.roster_dirty.remove(&part);
-            f.roster.push((part, self.roster[part].iter().map(|e| e.id.clone()).collect()));
+            let may_hold = self.roster[part].iter().filter(|e| !e.free);
+            f.roster.push((part, may_hold.map(|e| e.id.clone()).collect()));
             f.keys.push(key.clone());
             t.put(stamp(&key), key, encode(&self.roster[part]));
         }
@@ -251,9 +268,11 @@
                         j.durable.add_part(part, &text);
                     }
                 }
-                for (_, ids) in f.roster {
-                    for id in ids {
-                        if let Some(m) = self.machines.get_mut(&id) {
+                for (part, ids) in f.roster {
+                    let still: HashSet<&MachineId> =
+                        self.roster[part].iter().filter(|e| !e.free).map(|e| &e.id).collect();
+                    for id in ids.iter().filter(|id| still.contains(id)) {
+                        if let Some(m) = self.machines.get_mut(id) {
                             self.changed |= !m.durable;
                             m.durable = true;
                         }
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -364,7 +364,12 @@
                     }
                     "goes" => self.put("c/leader", None, None),
                     "roster" => {
-                        let e = |m: &&str| format!(r#"{{"id":"{m}","ty":"x","z":"a","s":false}}"#);
+                        let e = |m: &&str| match m.strip_prefix("free:") {
+                            Some(m) => {
+                                format!(r#"{{"id":"{m}","ty":"x","z":"a","s":false,"f":true}}"#)
+                            }
+                            None => format!(r#"{{"id":"{m}","ty":"x","z":"a","s":false}}"#),
+                        };
                         let all: Vec<String> = words[2..].iter().map(e).collect();
                         self.put("r/0", Some(format!("[{}]", all.join(","))), None);
                     }
@@ -426,6 +431,7 @@
 
 traces! {
     takeover_waits_for_every_machine
+    takeover_passes_over_free_machines
     late_write_of_an_old_leader
     lost_start
     late_report
