--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -24,7 +24,7 @@
     Load { token: Token },
     Flush { token: Token, flush: Box<Flush> },
     Refresh { token: Token, key: String },
-    Rent { token: Token },
+    Rent { token: Token, requisition: String },
     Release { token: Token, machines: Vec<MachineId> },
     List { token: Token },
 }
--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -765,10 +765,10 @@
                     }
                 }
             }
-            Purpose::Rent { token } => {
+            Purpose::Rent { token, requisition } => {
                 self.with_reign(|reign, ctx, calls, _| {
                     if reign.token == token {
-                        reign.rent_answer(ctx, calls, reply);
+                        reign.rent_answer(ctx, calls, &requisition, reply);
                     }
                 });
             }
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -74,21 +74,21 @@
             self.rental.next_plan = ctx.now + ctx.cfg.report_ms / 2;
             self.plan(ctx, calls);
         }
-        if self.rental.in_flight || ctx.now < self.rental.not_before {
-            return;
-        }
-        if let Some(r) = &self.rental.pending {
-            if calls.cloud.take(ctx.now, 1.0, Class::Door) {
-                self.rental.in_flight = true;
-                let call = CloudOp::Rent {
-                    requisition: r.requisition.clone(),
-                    machine_type: r.kind.machine_type.clone(),
-                    zone: r.kind.zone.clone(),
-                    spot: r.kind.spot,
-                    count: r.count,
-                };
-                calls.cloud(Purpose::Rent { token: self.token }, call, timeout);
+        let due = |r: &&mut Request| !r.in_flight && ctx.now >= r.not_before;
+        for r in self.rental.pending.iter_mut().filter(due) {
+            if !calls.cloud.take(ctx.now, 1.0, Class::Door) {
+                break;
             }
+            r.in_flight = true;
+            let call = CloudOp::Rent {
+                requisition: r.requisition.clone(),
+                machine_type: r.kind.machine_type.clone(),
+                zone: r.kind.zone.clone(),
+                spot: r.kind.spot,
+                count: r.count,
+            };
+            let purpose = Purpose::Rent { token: self.token, requisition: r.requisition.clone() };
+            calls.cloud(purpose, call, timeout);
         }
     }
 
@@ -143,29 +143,35 @@
             *fleet.entry(Kind { machine_type, zone, spot: m.spot }).or_default() += 1;
         }
         let count = |name: &str| have.get(name).copied().unwrap_or(0);
-        if self.rental.pending.is_none() {
-            let kinds = self.rental.kinds(ctx.types, |k| fleet.get(k).copied().unwrap_or(0));
+        while self.rental.pending.len() < RENTALS_MOST {
+            let coming = |k: &Kind| self.rental.asked(|o| o == k);
+            let all = |k: &Kind| fleet.get(k).copied().unwrap_or(0) + coming(k);
+            let kinds = self.rental.kinds(ctx.types, all);
             let short = |k: &Kind| {
                 let want = wants.iter().find(|w| w.name == k.machine_type && w.spot == k.spot);
                 let most = want.map_or(0, |w| w.most);
-                most.saturating_sub(count(&k.machine_type)).max(self.lacking(ctx, &live, k))
+                let asked = self.rental.asked(|o| o.machine_type == k.machine_type);
+                let lacking = self.lacking(ctx, &live, k).saturating_sub(coming(k));
+                most.saturating_sub(count(&k.machine_type) + asked).max(lacking)
             };
             // What is rented beyond a cut cannot be reached.
-            let open = kinds
+            let mut open = kinds
                 .into_iter()
                 .filter(|k| self.rental.open(k, ctx.now) && !self.cut_until.contains_key(&k.zone));
-            if let Some((kind, n)) =
-                open.map(|k| (short(&k), k)).find(|(n, _)| *n > 0).map(|(n, k)| (k, n))
-            {
-                self.rental.counter += 1;
-                self.rental.pending = Some(Request {
-                    // Never used again: the token is this reign's alone.
-                    requisition: format!("r-{}-{}", self.token.0, self.rental.counter),
-                    kind,
-                    count: n.min(RENT_MOST) as u32,
-                    tries: 0,
-                });
-            }
+            let Some((n, kind)) = open.find_map(|k| Some((short(&k), k)).filter(|(n, _)| *n > 0))
+            else {
+                break;
+            };
+            self.rental.counter += 1;
+            self.rental.pending.push(Request {
+                // Never used again: the token is this reign's alone.
+                requisition: format!("r-{}-{}", self.token.0, self.rental.counter),
+                kind,
+                count: n.min(RENT_MOST) as u32,
+                tries: 0,
+                in_flight: false,
+                not_before: 0,
+            });
         }
         let dear = |w: &Want| {
             let spare = count(&w.name).saturating_sub((w.most * 2).max(w.ready));
@@ -328,9 +334,17 @@
         }
     }
 
-    pub fn rent_answer(&mut self, ctx: &Ctx, calls: &mut Calls, reply: CloudReply) {
-        self.rental.in_flight = false;
-        let Some(mut r) = self.rental.pending.take() else { return };
+    pub fn rent_answer(
+        &mut self,
+        ctx: &Ctx,
+        calls: &mut Calls,
+        requisition: &str,
+        reply: CloudReply,
+    ) {
+        let pending = &mut self.rental.pending;
+        let Some(i) = pending.iter().position(|r| r.requisition == requisition) else { return };
+        let mut r = pending.remove(i);
+        r.in_flight = false;
         match reply {
             CloudReply::Rented(ids) => {
                 let detail = format!(
@@ -342,7 +356,7 @@
                 );
                 calls.log(Level::Info, "rented", detail);
                 if ids.len() < r.count as usize {
-                    self.rental.refuse(r.kind.clone(), ctx.now + self.refusal_ms(ctx));
+                    self.rental.refuse(r.kind.clone(), ctx.now + ctx.cfg.lease_ms);
                 }
                 for id in ids {
                     if self.machines.contains_key(&id) || self.returned.contains(&id) {
@@ -356,23 +370,21 @@
                 }
             }
             CloudReply::NoCapacity => {
-                let until = ctx.now + self.refusal_ms(ctx);
-                self.rental.refuse(r.kind, until);
+                self.rental.refuse(r.kind, ctx.now + ctx.cfg.lease_ms);
             }
             _ => {
                 // The outcome is unknown: the same name is asked again, so that what
                 // was rented is learnt and nothing is rented twice.
                 r.tries += 1;
-                self.rental.not_before = ctx.now + ctx.cfg.lease_ms / 10;
+                r.not_before = ctx.now + ctx.cfg.lease_ms / 10;
                 if r.tries < 30 {
-                    self.rental.pending = Some(r);
+                    self.rental.pending.push(r);
                 }
+                return;
             }
         }
-    }
-
-    fn refusal_ms(&self, ctx: &Ctx) -> Ms {
-        ctx.cfg.lease_ms
+        // What is still wanted is asked for at once.
+        self.rental.next_plan = ctx.now;
     }
 
     pub fn release_answer(
--- a/crates/basaltrail-core/src/rental.rs
+++ b/crates/basaltrail-core/src/rental.rs
@@ -17,13 +17,13 @@
     pub kind: Kind,
     pub count: u32,
     pub tries: u32,
+    pub in_flight: bool,
+    pub not_before: Ms,
 }
 
 #[derive(Default)]
 pub struct Rental {
-    pub pending: Option<Request>,
-    pub in_flight: bool,
-    pub not_before: Ms,
+    pub pending: Vec<Request>,
     /// Kinds that had no capacity, and until when they are left alone.
     pub refused: Vec<(Kind, Ms)>,
     pub counter: u64,
@@ -45,6 +45,11 @@
         !self.refused.iter().any(|(k, t)| k == kind && *t > now)
     }
 
+    /// Machines asked for and not answered yet.
+    pub fn asked(&self, wanted: impl Fn(&Kind) -> bool) -> usize {
+        self.pending.iter().filter(|r| wanted(&r.kind)).map(|r| r.count as usize).sum()
+    }
+
     /// The kinds that may be asked, the cheapest per CPU first.
     pub fn kinds(&self, types: &[MachineType], fleet: impl Fn(&Kind) -> usize) -> Vec<Kind> {
         let mut all: Vec<(f64, usize, Kind)> = Vec::new();
