Machines taken back are known to be gone without waiting for their lease

Three things: tasks that cannot save nor be done by the time of a notice are stopped at once; a machine that is silent after the time of its notice is released, since the answer makes sure that it is gone; a machine that was listed, and is missing in a list asked for more than two lags later, is gone (PROTOCOL: once listed, a machine stays listed until it is gone).

--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -127,6 +127,8 @@
     pub idle_since: Option<Ms>,
     pub known_since: Ms,
     pub listed: Option<(ListedState, Ms)>,
+    /// When it was first seen in the cloud's list.
+    pub first_listed: Option<Ms>,
     /// Images it has had, newest last, with sizes.
     pub images: Vec<(String, f64)>,
     pub faults: u32,
@@ -163,6 +165,7 @@
             idle_since: None,
             known_since: now,
             listed: None,
+            first_listed: None,
             images: Vec::new(),
             faults: 0,
             no_room_until: 0,
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -101,6 +101,8 @@
 const UNBEGUN_LEASES: WallMs = 9;
 /// Workers' leases that a job must have to lose to wait for room rather than stop others.
 const SOON_LEASES: f64 = 2.0;
+/// The part of its estimate that a task nearly always runs.
+const SURELY_RUNS: f64 = 0.7;
 /// Failures in a row after which a machine gets no more work.
 const FAULTY: u32 = 4;
 /// The cloud takes no larger rental.
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -67,6 +67,9 @@
         {
             let after =
                 self.rental.listing.as_ref().and_then(|l| l.last()).map(|m| m.machine.to_string());
+            if after.is_none() {
+                self.rental.list_sent = ctx.now;
+            }
             self.rental.list_in_flight = true;
             calls.cloud(Purpose::List { token: self.token }, CloudOp::List { after }, timeout);
         }
@@ -244,7 +247,12 @@
                 && !m.lapsed
                 && (silence <= ctx.cfg.lease_ms * 3 || !m.empty());
             let cut = self.cut_until.contains_key(&m.zone);
-            let why = if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
+            // Its time is over by its own word; the answer makes sure that it is gone.
+            let taken = m.gone_at.is_some_and(|t| ctx.now > t + 500)
+                && m.last_checkin.is_some_and(|t| ctx.now > t.max(woke) + ctx.cfg.report_ms);
+            let why = if taken {
+                "taken"
+            } else if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
                 "drained"
             } else if up && m.faults >= FAULTY && m.empty() {
                 "faulty"
@@ -420,12 +428,14 @@
             return;
         }
         self.rental.next_list = ctx.now + (ctx.cfg.list_lag_ms / 2).max(1000);
+        self.strike_unlisted(ctx, calls, &all);
         for l in all {
             if self.returned.contains(&l.machine) {
                 continue;
             }
             if let Some(m) = self.machines.get_mut(&l.machine) {
                 m.listed = Some((l.state, ctx.now));
+                m.first_listed.get_or_insert(ctx.now);
                 if m.endpoint.is_empty() {
                     m.endpoint = l.endpoint;
                 }
@@ -435,10 +445,30 @@
             let mut m = Machine::new(l.machine.clone(), &l.machine_type, &l.zone, l.spot, ctx.now);
             m.endpoint = l.endpoint;
             m.listed = Some((l.state, ctx.now));
+            m.first_listed = Some(ctx.now);
             m.known_since = ctx.now.saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as Ms);
             calls.log(Level::Info, "machine_found", format!("machine={}", l.machine));
             self.machines.insert(l.machine.clone(), m);
             self.enroll(ctx, &l.machine);
         }
     }
+
+    /// Machines that a list shows to be gone: one that was listed stays listed until it is
+    /// gone, and a list is at most two lags old. What ran there need not wait for its lease.
+    fn strike_unlisted(&mut self, ctx: &Ctx, calls: &mut Calls, all: &[ListedMachine]) {
+        let oldest = ctx.cfg.list_lag_ms * 5 / 2 + 1000;
+        let listed: HashSet<&MachineId> = all.iter().map(|l| &l.machine).collect();
+        let gone: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.first_listed.is_some_and(|t| self.rental.list_sent > t + oldest))
+            .filter(|m| m.last_checkin.is_none_or(|t| ctx.now > t + ctx.cfg.report_ms))
+            .filter(|m| m.returning != Returning::Releasing && !listed.contains(&m.id))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in gone {
+            calls.log(Level::Info, "machine_gone", format!("machine={id}"));
+            self.strike(ctx, calls, &id);
+        }
+    }
 }
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -180,7 +180,7 @@
         if m.notice(ctx.now) && m.returning == Returning::No {
             m.returning = Returning::Draining;
             calls.log(Level::Info, "machine_notice", format!("machine={}", m.id));
-            self.drain(&r.machine);
+            self.drain(ctx.now, &r.machine);
         }
         self.apply(ctx, calls, &r.machine, changes);
         self.note_free(&r.machine, false);
@@ -210,13 +210,20 @@
         }
     }
 
-    /// Tasks that can save leave a machine that is about to go.
-    fn drain(&mut self, machine: &MachineId) {
+    /// Tasks that can save leave a machine that is about to go, and so do those that
+    /// cannot be done by then: what they did is lost, and elsewhere they begin sooner.
+    fn drain(&mut self, now: Ms, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine) else { return };
-        for e in m.entries.values_mut() {
-            if let (Some(Need { save_s: Some(save), .. }), None) = (e.need, e.stop) {
-                e.stop = Some(save + 1.0);
-            }
+        let left_s = m.gone_at.map_or(0.0, |t| t.saturating_sub(now) as f64 / 1000.0);
+        for ((task, _), e) in m.entries.iter_mut().filter(|(_, e)| e.stop.is_none()) {
+            let Some(need) = e.need else { continue };
+            let ran_s = e.running_since.map_or(0.0, |t| (now - t) as f64 / 1000.0);
+            let run_s = self.jobs.get(&task.job).map_or(0.0, |j| j.spec.estimate_s);
+            e.stop = match need.save_s {
+                Some(save) => Some(save + 1.0),
+                // Estimates are often too high: in doubt it may go on.
+                None => (SURELY_RUNS * run_s - ran_s > left_s).then_some(0.0),
+            };
         }
         self.withdraw(machine);
     }
--- a/crates/basaltrail-core/src/rental.rs
+++ b/crates/basaltrail-core/src/rental.rs
@@ -29,6 +29,8 @@
     pub counter: u64,
     pub next_list: Ms,
     pub listing: Option<Vec<ListedMachine>>,
+    /// When the first page of the list on its way was asked for.
+    pub list_sent: Ms,
     pub list_in_flight: bool,
     pub release_in_flight: bool,
     pub release_not_before: Ms,
