Simulation: frozen controllers, zones cut off from everything, spot machines taken, old lists

A controller stands still from a step to a later time with what it has built and not sent, its clocks running on; a zone with its controllers and machines is cut off from the other zone, the state service, the cloud and the users; spot machines are taken back with and without a notice; lists tell of any time within two lags.

--- a/crates/basaltrail-core/tests/simulation.rs
+++ b/crates/basaltrail-core/tests/simulation.rs
@@ -11,6 +11,7 @@
 const LEASE: u64 = 10_000;
 const REPORT: u64 = 1_000;
 const CANCEL: u64 = 30_000;
+const LIST_LAG: u64 = 3_000;
 /// What a worker waits for a response.
 const PATIENCE: u64 = 4_000;
 const CPUS: f64 = 8.0;
@@ -46,7 +47,7 @@
         value_bytes: 1024,
         txn_ops: 12,
         cloud_rps: 5.0,
-        list_lag_ms: 3_000,
+        list_lag_ms: LIST_LAG,
         memory_mb: 56.0,
         incarnation,
         policy: Policy::default(),
@@ -209,6 +210,21 @@
     /// Its reports arrive, answers to them do not.
     deaf_until: u64,
     rented: u64,
+    /// When it stopped by itself: it stays listed.
+    died: Option<u64>,
+    /// When it was returned or taken: it is listed no more.
+    gone: Option<u64>,
+    /// When the cloud takes it back, and whether it says so before.
+    taken_at: Option<u64>,
+    noticed: bool,
+}
+
+impl Worker {
+    fn end(&mut self, t: u64) {
+        self.alive = false;
+        self.tasks.clear();
+        self.gone.get_or_insert(t);
+    }
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -254,6 +270,12 @@
     /// Cut off from the state service, and whether what is sent is held or lost.
     state_cut: Option<(u64, bool)>,
     refused_until: u64,
+    /// It stands still from its next step to then, with what it has built and not sent;
+    /// its clocks run on.
+    freezes_until: u64,
+    frozen_until: u64,
+    /// Cut off from the cloud and the users too.
+    island_until: u64,
 }
 
 struct World {
@@ -345,6 +367,9 @@
                     drift: 1.0 + [0.0005, -0.0005, 0.0][i],
                     state_cut: None,
                     refused_until: 0,
+                    freezes_until: 0,
+                    frozen_until: 0,
+                    island_until: 0,
                 })
                 .collect(),
             store: Store::default(),
@@ -407,23 +432,29 @@
         let Some(node) = c.node.as_mut() else { return };
         let effects = node.step(now, self.t as i64, input);
         let epoch = c.epoch;
+        if c.freezes_until > self.t {
+            c.frozen_until = std::mem::take(&mut c.freezes_until);
+        }
+        // What is built in the step in which it comes to stand goes out when it goes on.
+        let goes = self.t.max(c.frozen_until);
+        let island = c.island_until;
         for e in effects {
             match e {
                 Effect::Answer { req, answer } => {
                     let Some((worker, who, seq)) = self.reqs.remove(&req) else { continue };
-                    let at = self.t + self.delay();
+                    let at = goes + self.delay();
                     if worker {
                         let at = self.between(i, who, at);
                         let sent = self.workers[who].session;
                         self.send(at, usize::MAX, 0, Msg::Orders(who, sent, seq, answer));
-                    } else {
+                    } else if goes >= island {
                         self.send(at, usize::MAX, 0, Msg::Answer(who, answer));
                     }
                 }
                 Effect::State { op, call, timeout_ms } => {
                     let unknown = Input::State { op, reply: StateReply::Unknown };
                     self.send(self.t + timeout_ms, i, epoch, Msg::Input(unknown));
-                    let mut at = self.t + self.delay();
+                    let mut at = goes + self.delay();
                     // A transaction is carried out twice; nobody hears of the second.
                     if matches!(call, StateOp::Txn { .. }) && self.copied() {
                         let at = self.t + self.rng.random_range(5..30_000);
@@ -433,7 +464,7 @@
                         if !held {
                             continue;
                         }
-                        at += until.saturating_sub(self.t); // carried out late
+                        at = at.max(until + self.delay()); // carried out late
                     }
                     self.send(at, i, epoch, Msg::State(op, call));
                 }
@@ -451,7 +482,7 @@
                         let at = self.t + self.rng.random_range(5..30_000);
                         self.send(at, i, epoch, Msg::Cloud(OpId(u64::MAX), call.clone()));
                     }
-                    let at = self.t + 20 + self.delay() + late;
+                    let at = goes.max(island) + 20 + self.delay() + late;
                     self.send(at, i, epoch, Msg::Cloud(op, call));
                 }
                 _ => {}
@@ -559,6 +590,10 @@
                             hangs_until: 0,
                             deaf_until: 0,
                             rented: self.t,
+                            died: None,
+                            gone: None,
+                            taken_at: None,
+                            noticed: false,
                         });
                     }
                     if n == 0 {
@@ -572,19 +607,16 @@
             CloudOp::Release(ids) => {
                 for (m, w) in self.workers.iter_mut().enumerate() {
                     if ids.contains(&machine(m)) {
-                        w.alive = false;
-                        w.tasks.clear();
+                        w.end(self.t);
                     }
                 }
                 CloudReply::Released
             }
             CloudOp::List { .. } => {
-                let t = self.t;
-                let seen = self
-                    .workers
-                    .iter()
-                    .enumerate()
-                    .filter(|(_, w)| w.alive && t > w.rented + 3_000);
+                // It tells of any time within two lags, so it may be older than the last one.
+                let t = self.t.saturating_sub(self.rng.random_range(0..=2 * LIST_LAG));
+                let there = |w: &Worker| w.rented <= t && w.gone.is_none_or(|g| g > t);
+                let seen = self.workers.iter().enumerate().filter(|(_, w)| there(w));
                 let machines = seen
                     .map(|(m, w)| ListedMachine {
                         machine: machine(m),
@@ -592,7 +624,9 @@
                         machine_type: "x".into(),
                         zone: ZONES[w.zone].into(),
                         spot: w.spot,
-                        state: if t > w.up_at {
+                        state: if w.died.is_some_and(|d| t > d + 30_000) {
+                            ListedState::Failed
+                        } else if t > w.up_at {
                             ListedState::Running
                         } else {
                             ListedState::Booting
@@ -617,6 +651,9 @@
         for m in 0..self.workers.len() {
             let t = self.t;
             let w = &mut self.workers[m];
+            if w.taken_at.is_some_and(|at| t >= at) {
+                w.end(t);
+            }
             if !w.alive || t < w.up_at {
                 continue;
             }
@@ -655,7 +692,10 @@
                     session: w.session,
                     seq: w.seq,
                     token: w.token,
-                    notice_s: None,
+                    notice_s: w
+                        .taken_at
+                        .filter(|_| w.noticed)
+                        .map(|at| at.saturating_sub(t) as f64 / 1000.0),
                     tasks: w
                         .tasks
                         .iter()
@@ -875,7 +915,7 @@
             Input::Poll { req, job: u.job }
         };
         self.send(again, usize::MAX, 0, Msg::User(i));
-        if self.nodes[node].node.is_some() {
+        if self.nodes[node].node.is_some() && t >= self.nodes[node].island_until {
             self.reqs.insert(req, (false, i, 0));
             if self.copied() {
                 let at = t + self.rng.random_range(50..30_000);
@@ -977,7 +1017,7 @@
         let node = self.rng.random_range(0..NODES);
         let held = self.rng.random_bool(0.6);
         let long = t + self.rng.random_range(2_000..25_000);
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..13) {
             0 | 1 => self.crash(node),
             2 => (0..NODES).for_each(|i| self.crash(i)),
             3 => {
@@ -1008,8 +1048,30 @@
             }
             9 if !self.workers.is_empty() => {
                 let m = self.rng.random_range(0..self.workers.len());
-                self.workers[m].alive = false;
-                self.workers[m].tasks.clear();
+                let w = &mut self.workers[m];
+                w.alive = false;
+                w.tasks.clear();
+                w.died.get_or_insert(t);
+            }
+            10 => {
+                // Spot machines are taken back in a wave, some without a word before.
+                for w in self.workers.iter_mut().filter(|w| w.spot && w.taken_at.is_none()) {
+                    if self.rng.random_bool(0.5) {
+                        w.taken_at = Some(t + self.rng.random_range(2_000..9_000));
+                        w.noticed = self.rng.random_bool(0.7);
+                        w.next_report = w.next_report.min(t + 500);
+                    }
+                }
+            }
+            11 => self.nodes[node].freezes_until = long,
+            12 => {
+                // A zone is cut off from everything; inside, it goes on.
+                let zone = self.rng.random_range(0..2);
+                self.zone_cut = Some((long, held));
+                for (_, c) in self.nodes.iter_mut().enumerate().filter(|(i, _)| i % 2 == zone) {
+                    c.state_cut = Some((long, held));
+                    c.island_until = long;
+                }
             }
             _ => {}
         }
@@ -1019,6 +1081,8 @@
     fn crash(&mut self, i: usize) {
         self.nodes[i].node = None;
         self.nodes[i].epoch += 1;
+        self.nodes[i].freezes_until = 0;
+        self.nodes[i].frozen_until = 0;
         let wait = [20, 100, 400, 3_000, 3_000][self.rng.random_range(0..5)];
         self.quiet_at = self.quiet_at.max(self.t + wait);
         let epoch = self.nodes[i].epoch;
@@ -1092,6 +1156,10 @@
     }
 
     fn deliver(&mut self, node: usize, epoch: u64, msg: Msg) {
+        let to_node = matches!(msg, Msg::Tick | Msg::Input(_) | Msg::Report(..));
+        if to_node && self.t < self.nodes[node].frozen_until {
+            return self.send(self.nodes[node].frozen_until, node, epoch, msg);
+        }
         match msg {
             Msg::Tick => {
                 if self.nodes[node].epoch != epoch {
@@ -1127,7 +1195,7 @@
 #[test]
 fn the_rules_hold_over_seeded_days_of_faults() {
     let mut started = 0;
-    for seed in 0..36 {
+    for seed in 0..48 {
         let mut w = World::new(seed);
         // One trouble at a time, then two: pairs are what a design forgets.
         w.run(1 + (seed % 3).min(1) as u32, DAY);
