--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -97,6 +97,8 @@
 
 /// A kind of machine this many times as dear as the cheapest is not kept ready.
 const DEAR: f64 = 1.5;
+/// The part of its boot time for which a dear machine must find work.
+const DEAR_PAYS: f64 = 0.7;
 /// Workers' leases that a job waits for its first task before it goes first.
 const UNBEGUN_LEASES: WallMs = 9;
 /// Workers' leases that a job must have to lose to wait for room rather than stop others.
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -97,8 +97,8 @@
 
     /// Decides on renting more or giving back. The settings do not say whether money
     /// is an aim, so it always counts: the summed guarantees are held ready on the
-    /// cheapest machines, and a dearer one must find work for its boot time, as many
-    /// times as it is dearer.
+    /// cheapest machines, and a dearer one must find work for [`DEAR_PAYS`] of its boot
+    /// time, as many times as it is dearer.
     fn plan(&mut self, ctx: &Ctx, calls: &mut Calls) {
         let per_cpu = |t: &MachineType, spot: bool| {
             let price = if spot { t.spot_price.min(t.price) } else { t.price };
@@ -125,8 +125,8 @@
             let target = d.machines.max(ready).min(limits / cpus).ceil() as usize;
             for spot in [false, true] {
                 let ratio = (per_cpu(t, spot) / cheapest).max(1.0);
-                let pays = d.work / (t.boot_s.max(1.0) * ratio * cpus);
-                let kept = if ratio < DEAR { ready } else { 0.0 };
+                let (part, kept) = if ratio < DEAR { (1.0, ready) } else { (DEAR_PAYS, 0.0) };
+                let pays = d.work / (part * t.boot_s.max(1.0) * ratio * cpus);
                 let most = target.min(pays.max(kept).ceil() as usize);
                 let name = t.name.clone();
                 let ready = ready.ceil() as usize;
