--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -87,6 +87,11 @@
         self.reign.as_ref().is_some_and(Reign::loaded) && self.election.entitled(self.now)
     }
 
+    /// Machines and tasks that the present reign has looked at in its passes.
+    pub fn visited(&self) -> u64 {
+        self.reign.as_ref().map_or(0, |r| r.visited)
+    }
+
     pub fn step(&mut self, now: Ms, wall: WallMs, input: Input) -> Vec<Effect> {
         self.now = self.now.max(now);
         self.wall = wall;
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -193,6 +193,8 @@
     pass: Option<placing::Pass>,
     next_watch: Ms,
     last_tick: Ms,
+    /// Machines and tasks looked at in passes: what the size of the fleet costs.
+    pub visited: u64,
     /// When this process last went on after it stood still: silence counts from there.
     woke: Ms,
     /// Most workers went silent though this process ran all the time.
@@ -256,6 +258,7 @@
             pass: None,
             next_watch: 0,
             last_tick: ctx.now,
+            visited: 0,
             woke: 0,
             lost_workers: false,
             complete: BTreeSet::new(),
@@ -290,6 +293,7 @@
         }
         self.last_tick = ctx.now;
         if ctx.now >= self.next_watch {
+            self.visited += self.machines.len() as u64;
             self.next_watch = ctx.now + ctx.cfg.report_ms / 20;
             self.watch_machines(ctx, calls);
             self.lost_workers = self.find_lost(ctx);
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -137,6 +137,7 @@
         self.changed = false;
         self.next_place = ctx.now + ctx.cfg.report_ms / 20;
         self.fleet_cpus = self.accrue(ctx);
+        self.visited += self.machines.values().map(|m| 1 + m.entries.len() as u64).sum::<u64>();
         let all_accounted = self.machines.values().all(|m| m.accounted);
         let mut used = self.usage(ctx);
         let mut rooms: Vec<Room> =
@@ -235,6 +236,7 @@
         let room = self.machines.get(machine).and_then(|m| self.room(ctx, m));
         let Some(room) = room.filter(|_| ctx.entitled) else { return };
         let Some(mut pass) = self.pass.take() else { return };
+        self.visited += 1;
         let mut rooms = vec![room];
         let mut used = std::mem::take(&mut pass.used);
         for id in &pass.unbegun {
--- /dev/null
+++ b/crates/basaltrail-core/tests/scale.rs
@@ -0,0 +1,425 @@
+//! What a leader of 1,600 machines does, counted and not timed: machines and tasks looked
+//! at, allocations, calls of each service, bytes of each transaction. It begins with no
+//! machine, rents all of them, and is started anew with all of them up.
+
+use basaltrail_core::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use stats_alloc::{Region, StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+#[global_allocator]
+static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const MACHINES: usize = 1_600;
+const REPORT: u64 = 4_000;
+const BOOT: u64 = 20_000;
+const DAY: u64 = 150_000;
+const RESTART: u64 = 100_000;
+
+fn settings(incarnation: u64) -> Settings {
+    let team = |i: usize| Team {
+        name: format!("t{i}"),
+        cpus: 3_000.0,
+        cpus_max: 9_000.0,
+        gpus: 0.0,
+        gpus_max: 0.0,
+    };
+    Settings {
+        node: "n0".into(),
+        zone: "a".into(),
+        nodes: 5,
+        zones: vec!["a".into(), "b".into()],
+        peer_zones: vec!["a".into(); 4],
+        teams: (0..4).map(team).collect(),
+        objectives: vec![Objective::Finished { class: "c".into(), within_s: 120.0 }],
+        report_ms: REPORT,
+        lease_ms: 22_000,
+        cancel_ms: 42_000,
+        state_rps: 500.0,
+        write_rps: 80.0,
+        value_bytes: 4_096,
+        txn_ops: 12,
+        cloud_rps: 8.0,
+        list_lag_ms: 5_000,
+        memory_mb: 188.0,
+        incarnation,
+        policy: Policy::default(),
+    }
+}
+
+#[derive(Default)]
+struct Worker {
+    up_at: u64,
+    seq: u64,
+    token: Token,
+    tasks: BTreeMap<(TaskId, Attempt), (TaskState, u64)>,
+    reported: u64,
+    next: u64,
+}
+
+#[derive(Default, Debug)]
+struct Count {
+    inputs: u64,
+    reports: u64,
+    starts: u64,
+    done: u64,
+    state: u64,
+    writes: u64,
+    cloud: u64,
+    largest: usize,
+}
+
+struct World {
+    t: u64,
+    node: Node,
+    rng: SmallRng,
+    workers: Vec<Worker>,
+    keys: BTreeMap<String, (String, u64)>,
+    revision: u64,
+    log: Vec<(String, u64)>,
+    loan: u64,
+    /// Answers on their way, and when they arrive.
+    due: BTreeMap<(u64, u64), Input>,
+    watches: Vec<(OpId, String, u64, u64)>,
+    req: u64,
+    reporting: BTreeMap<ReqId, usize>,
+    count: Count,
+}
+
+impl World {
+    fn answer(&mut self, after: u64, input: Input) {
+        self.req += 1;
+        self.due.insert((self.t + after, self.req), input);
+    }
+
+    fn feed(&mut self, input: Input) {
+        self.count.inputs += 1;
+        for e in self.node.step(self.t, self.t as i64, input) {
+            match e {
+                Effect::Answer { req, answer } => self.orders(req, answer),
+                Effect::State { op, call, .. } => self.state(op, call),
+                Effect::Cloud { op, call, .. } => self.cloud(op, call),
+                _ => {}
+            }
+        }
+    }
+
+    fn orders(&mut self, req: ReqId, answer: Answer) {
+        let Some(m) = self.reporting.remove(&req) else { return };
+        let t = self.t;
+        let w = &mut self.workers[m];
+        let Answer::Orders { token, orders } = answer else {
+            w.next = t + 1_000;
+            return;
+        };
+        w.next = t + self.rng.random_range(REPORT * 3 / 4..REPORT * 5 / 4);
+        if token > w.token || !orders.is_empty() {
+            w.next = t + 500;
+        }
+        w.token = token;
+        for o in orders {
+            match o {
+                Order::Start { task, attempt } => {
+                    self.count.starts += 1;
+                    let until = t + self.rng.random_range(20_000..60_000);
+                    w.tasks.insert((task, attempt), (TaskState::Running, until));
+                }
+                Order::Forget { task, attempt } => {
+                    w.tasks.remove(&(task, attempt));
+                }
+                Order::Stop { task, attempt, .. } => {
+                    if let Some(x) = w.tasks.get_mut(&(task, attempt)) {
+                        *x = (TaskState::Exited(Why::Stopped), u64::MAX);
+                    }
+                }
+            }
+        }
+    }
+
+    fn item(&self, key: &str) -> Option<Item> {
+        let (value, stamp) = self.keys.get(key)?;
+        let loan = (key == records::LEADER).then_some(self.loan);
+        Some(Item { key: key.into(), value: value.clone(), stamp: *stamp, loan })
+    }
+
+    fn news(&self, prefix: &str, after: u64) -> Vec<Event> {
+        let new = self.log.iter().rev().take_while(|(_, r)| *r > after);
+        let mut events: Vec<Event> = new
+            .filter(|(k, _)| k.starts_with(prefix))
+            .map(|(k, r)| match self.item(k) {
+                Some(i) => Event::Put(i),
+                None => Event::Remove { key: k.clone(), stamp: *r },
+            })
+            .collect();
+        events.reverse();
+        events
+    }
+
+    fn state(&mut self, op: OpId, call: StateOp) {
+        self.count.state += 1;
+        let reply = match call {
+            StateOp::Get(key) => self.item(&key).map_or(StateReply::Missing, StateReply::Found),
+            StateOp::List { prefix, after, limit } => {
+                let from = after.unwrap_or_default();
+                let keys = self.keys.keys().filter(|k| k.starts_with(&prefix) && **k > from);
+                let some: Vec<String> = keys.take(limit as usize + 1).cloned().collect();
+                let more = some.len() > limit as usize;
+                let items = some.iter().take(limit as usize).filter_map(|k| self.item(k)).collect();
+                StateReply::Rows { items, more, revision: self.revision }
+            }
+            StateOp::Txn { conds, puts, removes } => {
+                assert!(puts.len() + removes.len() <= 12 && conds.len() <= 48);
+                assert!(puts.iter().all(|p| p.value.len() <= 4_096), "a value is too long");
+                let keys = conds.iter().map(|(k, _)| k.len() + 40).sum::<usize>();
+                let values = puts.iter().map(|p| p.key.len() + p.value.len() + 40).sum::<usize>();
+                self.count.largest = self.count.largest.max(keys + values + 60 * removes.len());
+                self.count.writes += (puts.len() + removes.len()) as u64;
+                let stamp = |k: &String| self.keys.get(k).map_or(0, |(_, s)| *s);
+                let bad = conds.iter().filter(|(k, s)| stamp(k) != *s);
+                let failed: Vec<String> = bad.map(|(k, _)| k.clone()).collect();
+                if failed.is_empty() {
+                    self.revision += 1;
+                    for p in puts {
+                        self.log.push((p.key.clone(), self.revision));
+                        self.keys.insert(p.key, (p.value, self.revision));
+                    }
+                    for key in removes {
+                        self.keys.remove(&key);
+                        self.log.push((key, self.revision));
+                    }
+                    StateReply::Committed { revision: self.revision }
+                } else {
+                    StateReply::Conflict { failed }
+                }
+            }
+            StateOp::Grant { .. } => {
+                self.loan += 1;
+                StateReply::Granted { loan: self.loan }
+            }
+            StateOp::Revoke { loan } => {
+                if loan == self.loan {
+                    self.revision += 1;
+                    self.keys.remove(records::LEADER);
+                    self.log.push((records::LEADER.into(), self.revision));
+                }
+                StateReply::Ok
+            }
+            StateOp::Extend { .. } => StateReply::Ok,
+            StateOp::Watch { prefix, after, wait_ms } => {
+                return self.watches.push((op, prefix, after, self.t + wait_ms));
+            }
+        };
+        self.answer(10, Input::State { op, reply });
+    }
+
+    fn watch(&mut self) {
+        for (op, prefix, after, until) in std::mem::take(&mut self.watches) {
+            let events = self.news(&prefix, after);
+            if events.is_empty() && self.t < until {
+                self.watches.push((op, prefix, after, until));
+            } else {
+                let reply = StateReply::Events { revision: self.revision, events };
+                self.answer(5, Input::State { op, reply });
+            }
+        }
+    }
+
+    fn cloud(&mut self, op: OpId, call: CloudOp) {
+        self.count.cloud += 1;
+        let name = |m: usize| MachineId(format!("m-{m:06}").into());
+        let reply = match call {
+            CloudOp::Types => CloudReply::Types(vec![MachineType {
+                name: "x".into(),
+                cpus: 8.0,
+                gpus: 0.0,
+                memory_gb: 16.0,
+                cache_gb: 30.0,
+                fetch_gb_per_s: 1.0,
+                price: 0.5,
+                spot_price: 0.5,
+                boot_s: 20.0,
+                zones: vec!["a".into(), "b".into()],
+            }]),
+            CloudOp::Rent { count, .. } => {
+                let from = self.workers.len();
+                for _ in 0..(count as usize).min(MACHINES - from) {
+                    let up_at = self.t + BOOT * self.rng.random_range(6..15) / 10;
+                    self.workers.push(Worker { up_at, next: up_at, ..Worker::default() });
+                }
+                match self.workers.len() - from {
+                    0 => CloudReply::NoCapacity,
+                    n => CloudReply::Rented((from..from + n).map(name).collect()),
+                }
+            }
+            CloudOp::Release(_) => CloudReply::Released,
+            CloudOp::List { after } => {
+                let from = after.map_or(0, |a| a[2..].parse::<usize>().unwrap() + 1);
+                let to = self.workers.len().min(from + 500);
+                let machines = (from..to).map(|m| ListedMachine {
+                    machine: name(m),
+                    endpoint: "e".into(),
+                    machine_type: "x".into(),
+                    zone: ["a", "b"][m % 2].into(),
+                    spot: false,
+                    state: ListedState::Running,
+                    age_s: 1.0,
+                });
+                CloudReply::Listed { machines: machines.collect(), more: to < self.workers.len() }
+            }
+        };
+        self.answer(150, Input::Cloud { op, reply });
+    }
+
+    fn report(&mut self, m: usize) {
+        let t = self.t;
+        let w = &mut self.workers[m];
+        w.seq += 1;
+        w.next = u64::MAX;
+        w.reported = t;
+        let tasks = w.tasks.iter().map(|((task, attempt), (s, _))| TaskReport {
+            task: *task,
+            attempt: *attempt,
+            state: *s,
+        });
+        let report = Report {
+            machine: MachineId(format!("m-{m:06}").into()),
+            endpoint: "e".into(),
+            machine_type: "x".into(),
+            zone: ["a", "b"][m % 2].into(),
+            spot: false,
+            session: 1,
+            seq: w.seq,
+            token: w.token,
+            notice_s: None,
+            tasks: tasks.collect(),
+        };
+        self.req += 1;
+        let req = ReqId(self.req);
+        self.reporting.insert(req, m);
+        self.count.reports += 1;
+        self.feed(Input::Checkin { req, report: Box::new(report) });
+    }
+
+    fn submit(&mut self, job: u64) {
+        let tasks = [40, 60, 100, 250, 1_000][self.rng.random_range(0..5)];
+        let spec = JobSpec {
+            class: "c".into(),
+            team: format!("t{}", job % 4),
+            priority: if job.is_multiple_of(3) { Priority::Normal } else { Priority::Low },
+            tasks,
+            cpus: 2.0,
+            gpus: 0.0,
+            memory_gb: 2.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            image: format!("i{}", job % 8),
+            image_gb: 1.0,
+            estimate_s: 40.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        self.req += 1;
+        let req = ReqId(self.req);
+        self.feed(Input::Submit { req, job: JobId(job), spec: Box::new(spec) });
+    }
+
+    fn run(&mut self, until: u64) {
+        let mut job = self.t;
+        while self.t < until {
+            self.t += 10;
+            while let Some(e) = self.due.first_entry().filter(|e| e.key().0 <= self.t) {
+                let input = e.remove();
+                self.feed(input);
+            }
+            if self.t.is_multiple_of(50) {
+                self.watch();
+                self.feed(Input::Tick);
+            }
+            if self.t.is_multiple_of(700) {
+                job += 1;
+                self.submit(job);
+            }
+            for m in 0..self.workers.len() {
+                let t = self.t;
+                let w = &mut self.workers[m];
+                if t < w.up_at {
+                    continue;
+                }
+                for (s, _) in w.tasks.values_mut().filter(|(_, until)| *until <= t) {
+                    if *s == TaskState::Running {
+                        *s = TaskState::Exited(Why::Done);
+                        self.count.done += 1;
+                        if w.next != u64::MAX {
+                            w.next = w.next.min((w.reported + 500).max(t));
+                        }
+                    }
+                }
+                if w.next <= t {
+                    self.report(m);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn work_grows_with_the_fleet_and_not_with_its_reports() {
+    let mut w = World {
+        t: 0,
+        node: Node::new(Arc::new(settings(1)), 1),
+        rng: SmallRng::seed_from_u64(1),
+        workers: Vec::new(),
+        keys: BTreeMap::new(),
+        revision: 0,
+        log: Vec::new(),
+        loan: 0,
+        due: BTreeMap::new(),
+        watches: Vec::new(),
+        req: 0,
+        reporting: BTreeMap::new(),
+        count: Count::default(),
+    };
+    w.run(RESTART - 20_000);
+    assert_eq!(w.workers.len(), MACHINES, "not all were rented");
+    w.count = Count::default();
+    let before = w.node.visited();
+    let region = Region::new(COUNTED);
+    w.run(RESTART);
+    let made = region.change().allocations as u64;
+    let visited = w.node.visited() - before;
+    let count = std::mem::take(&mut w.count);
+    println!("20 s: {count:?}, {visited} visited, {made} allocations, the stand-in's included");
+    assert!(count.reports > 5_000 && count.starts > 1_500, "too little to do: {count:?}");
+    // A pass over all machines and tasks at set times, and one machine a report.
+    let all: u64 = w.workers.iter().map(|w| 2 + w.tasks.len() as u64).sum();
+    let passes = 20_000 / (REPORT / 20) + 2;
+    assert!(visited <= all * passes * 3 / 2 + count.reports, "{visited} of {all} in {passes}");
+    assert!(made / count.reports < 150, "{} allocations a report", made / count.reports);
+    assert!(count.state <= 20 * 500 && count.writes <= 20 * 80, "{count:?}");
+    assert!(count.cloud <= 20 * 8, "{count:?}");
+    assert!(count.largest <= 64 * 1024, "{count:?}");
+
+    // The process ends; the next one finds all machines up, and they all come at once.
+    w.node = Node::new(Arc::new(settings(2)), 2);
+    w.due.clear();
+    w.watches.clear();
+    w.reporting.clear();
+    let now = w.t;
+    for x in &mut w.workers {
+        x.next = now + 500;
+    }
+    w.run(RESTART + 12_000);
+    let starts = w.count.starts;
+    println!("12 s after a restart: {:?}", w.count);
+    assert!(w.node.leading() && starts > 500, "{starts} starts after a restart");
+    assert!(w.count.largest <= 64 * 1024);
+    w.run(DAY);
+    assert!(w.count.done > 4_000, "{:?}", w.count);
+}
