After a takeover, release the few machines that say nothing

Excluded: the election (0.4 s after the start), the state service, machines that boot (the roster says that nothing runs there).

Half a lease after the takeover, if no more than one machine in eight is silent, those are released; a release that was answered proves that nothing runs there. More than that is a cut, and waits.

--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -112,6 +112,8 @@
 /// Rentals on their way at once: one after the other, a fleet that begins with no machine
 /// would come up by the time of an answer for each.
 const RENTALS_MOST: usize = 8;
+/// One in so many machines that are silent after a takeover is few.
+const UNHEARD_FEW: usize = 8;
 /// Nor more names in one release.
 const RELEASE_MOST: usize = 100;
 /// Machines returned lately, per megabyte; their late reports are not taken for new machines.
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -236,6 +236,14 @@
         let lag = ctx.cfg.list_lag_ms;
         self.note_cuts(ctx);
         let woke = self.woke;
+        // After a takeover older work waits for a word of every machine that may hold some.
+        // Those few that are silent when the others have spoken are most likely dead, and
+        // the answer to their release makes sure of it sooner than their lease does. Many
+        // silent ones are cut off, and come back.
+        let unheard = |m: &Machine| !m.accounted && m.greeted == 0 && m.last_checkin.is_none();
+        let silent = self.machines.values().filter(|m| unheard(m)).count();
+        let few = silent * UNHEARD_FEW <= self.machines.len()
+            && ctx.now > self.since.max(woke) + ctx.cfg.lease_ms / 2;
         let mut go = Vec::new();
         for m in self.machines.values() {
             let age = ctx.now - m.known_since;
@@ -252,6 +260,8 @@
                 && m.last_checkin.is_some_and(|t| ctx.now > t.max(woke) + ctx.cfg.report_ms);
             let why = if taken {
                 "taken"
+            } else if few && unheard(m) {
+                "unheard"
             } else if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
                 "drained"
             } else if up && m.faults >= FAULTY && m.empty() {
