Few silent machines are counted by zone

A small zone that is cut off when a leader takes over would have counted as a few dead machines, and been returned.

--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -112,7 +112,7 @@
 /// Rentals on their way at once: one after the other, a fleet that begins with no machine
 /// would come up by the time of an answer for each.
 const RENTALS_MOST: usize = 8;
-/// One in so many machines that are silent after a takeover is few.
+/// One in so many machines of a zone that are silent after a takeover is few.
 const UNHEARD_FEW: usize = 8;
 /// Nor more names in one release.
 const RELEASE_MOST: usize = 100;
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -239,11 +239,16 @@
         // After a takeover older work waits for a word of every machine that may hold some.
         // Those few that are silent when the others have spoken are most likely dead, and
         // the answer to their release makes sure of it sooner than their lease does. Many
-        // silent ones are cut off, and come back.
+        // silent ones of a zone are cut off, and come back.
         let unheard = |m: &Machine| !m.accounted && m.greeted == 0 && m.last_checkin.is_none();
-        let silent = self.machines.values().filter(|m| unheard(m)).count();
-        let few = silent * UNHEARD_FEW <= self.machines.len()
-            && ctx.now > self.since.max(woke) + ctx.cfg.lease_ms / 2;
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values() {
+            let zone = zones.entry(&m.zone).or_default();
+            zone.0 += 1;
+            zone.1 += unheard(m) as usize;
+        }
+        let late = ctx.now > self.since.max(woke) + ctx.cfg.lease_ms / 2;
+        let few = |zone: &str| late && zones.get(zone).is_some_and(|(n, s)| s * UNHEARD_FEW <= *n);
         let mut go = Vec::new();
         for m in self.machines.values() {
             let age = ctx.now - m.known_since;
@@ -260,7 +265,7 @@
                 && m.last_checkin.is_some_and(|t| ctx.now > t.max(woke) + ctx.cfg.report_ms);
             let why = if taken {
                 "taken"
-            } else if few && unheard(m) {
+            } else if unheard(m) && few(&m.zone) {
                 "unheard"
             } else if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
                 "drained"
