Objectives of beginning count for reach

They are now one more date in reach.

Settings without teams or with fewer than 16 connections are refused.

--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -82,6 +82,7 @@
         .wanted_s(&j.spec)
         .map(|due| due - age - j.spec.estimate_s)
         .filter(|spare| *spare > -0.3 * j.spec.estimate_s)
+        .chain(ctx.cfg.begun_s(&j.spec).map(|due| due - age).filter(|spare| *spare > 0.0))
         .collect();
     spares.sort_by(|a, b| b.total_cmp(a));
     spares
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -18,6 +18,8 @@
     Deadline { class: String, times: f64 },
     /// Within so many seconds of its submission.
     Finished { class: String, within_s: f64 },
+    /// All its tasks begun within so many seconds of its submission.
+    Begun { class: String, within_s: f64 },
 }
 
 #[derive(Clone, Debug)]
@@ -115,6 +117,14 @@
         })
     }
 
+    /// The times, in seconds from submission, by which its tasks are to have begun.
+    pub fn begun_s<'a>(&'a self, job: &'a JobSpec) -> impl Iterator<Item = f64> + 'a {
+        self.objectives.iter().filter_map(|o| match o {
+            Objective::Begun { class, within_s } if *class == job.class => Some(*within_s),
+            _ => None,
+        })
+    }
+
     pub fn weight(&self, team: usize) -> f64 {
         let t = &self.teams[team];
         self.policy.weights.iter().find(|(n, _)| *n == t.name).map_or(t.cpus.max(1.0), |(_, w)| *w)
--- a/crates/basaltrail/src/settings.rs
+++ b/crates/basaltrail/src/settings.rs
@@ -92,6 +92,7 @@
         match self.kind.as_str() {
             "deadline" => Some(Objective::Deadline { class, times: self.times.unwrap_or(1.0) }),
             "finished" => Some(Objective::Finished { class, within_s: self.within_s? }),
+            "wait" => Some(Objective::Begun { class, within_s: self.within_s? }),
             _ => None,
         }
     }
@@ -170,6 +171,12 @@
             gpus_max: t.gpus_max,
         });
     }
+    if teams.is_empty() {
+        return Err(fail("params.teams names no team".into()));
+    }
+    if p.resources.max_connections < 16 {
+        return Err(fail("params.resources.max_connections must be 16 or more".into()));
+    }
     if p.state.txn_ops < 2 {
         return Err(fail("params.state.txn_ops must be 2 or more".into()));
     }
@@ -205,7 +212,7 @@
         peers,
         state: addr("endpoints.state", &f.endpoints.state)?,
         cloud: addr("endpoints.cloud", &f.endpoints.cloud)?,
-        max_connections: p.resources.max_connections.max(16),
+        max_connections: p.resources.max_connections,
     })
 }
 
@@ -221,6 +228,8 @@
         assert_eq!(p.core.teams.len(), 2);
         assert_eq!(p.core.lease_ms, 10_000);
         assert_eq!(p.peers.len(), 2);
+        let begun = Objective::Begun { class: "nightly-catalogue".into(), within_s: 40.0 };
+        assert!(p.core.objectives.contains(&begun), "{:?}", p.core.objectives);
     }
 
     #[test]
@@ -234,6 +243,12 @@
         assert!(told("127.0.0.1:7100", "nowhere").contains("listen"));
         assert!(told("lease_s = 10.0", "lease_s = 0.0").contains("workers.lease_s"));
         assert!(told("txn_ops = 24", "txn_ops = 0").contains("txn_ops"));
+        assert!(told("max_connections = 600", "max_connections = 0").contains("max_connections"));
+        assert!(told("\nrps = 120.0", "\nrps = 0.0").contains("state.rps"));
+        let none: String = GOOD.split("[[params.teams]]").next().unwrap().into();
+        let rest = &GOOD[GOOD.find("[[params.objectives]]").unwrap()..];
+        let none = parse("s.toml", &format!("{none}teams = []\n{rest}"));
+        assert!(none.unwrap_err().to_string().contains("no team"));
         assert!(told("name = \"buyers\"", "name = \"cataloguers\"").contains("twice"));
     }
 }
