A leader back in its right does not take its workers for lost

Cause: after an outage longer than the leader's right, or a stand-still, all workers are silent because nobody answered them; a leader that came back into its right judged that at once, resigned, and held back for two leases while another took over. Found by reading, shown by the kept trace long_outage_keeps_the_leader, which fails without this.

Silence counts from when the right or the process came back. A list that was cut short at its bound proves nothing about what it does not name. What jobs with wishes of their own lack is found once a plan, not once a rental.

--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -198,9 +198,11 @@
     last_tick: Ms,
     /// Machines and tasks looked at in passes: what the size of the fleet costs.
     pub visited: u64,
-    /// When this process last went on after it stood still: silence counts from there.
+    was_entitled: bool,
+    /// When this process last went on after it stood still or had no right: silence counts
+    /// from there.
     woke: Ms,
-    /// Most workers went silent though this process ran all the time.
+    /// Most workers went silent though this process could have answered them.
     pub lost_workers: bool,
     /// Jobs whose tasks are all done and whose end is not written yet.
     complete: BTreeSet<JobId>,
@@ -262,6 +264,7 @@
             next_watch: 0,
             last_tick: ctx.now,
             visited: 0,
+            was_entitled: true,
             woke: 0,
             lost_workers: false,
             complete: BTreeSet::new(),
@@ -291,10 +294,14 @@
         if !self.loaded() {
             return;
         }
-        if ctx.now > self.last_tick + ctx.cfg.report_ms {
+        let stood = ctx.now > self.last_tick + ctx.cfg.report_ms;
+        if stood || (ctx.entitled && !self.was_entitled) {
+            // Nobody was answered for a while: who was silent then tells nothing.
             self.woke = ctx.now;
+            self.lost_workers = false;
         }
         self.last_tick = ctx.now;
+        self.was_entitled = ctx.entitled;
         if ctx.now >= self.next_watch {
             self.visited += self.machines.len() as u64;
             self.next_watch = ctx.now + ctx.cfg.report_ms / 20;
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -146,6 +146,9 @@
             *fleet.entry(Kind { machine_type, zone, spot: m.spot }).or_default() += 1;
         }
         let count = |name: &str| have.get(name).copied().unwrap_or(0);
+        let kinds = self.rental.kinds(ctx.types, |_| 0);
+        let lacking: BTreeMap<Kind, usize> =
+            kinds.into_iter().map(|k| (k.clone(), self.lacking(ctx, &live, &k))).collect();
         while self.rental.pending.len() < RENTALS_MOST {
             let coming = |k: &Kind| self.rental.asked(|o| o == k);
             let all = |k: &Kind| fleet.get(k).copied().unwrap_or(0) + coming(k);
@@ -154,7 +157,7 @@
                 let want = wants.iter().find(|w| w.name == k.machine_type && w.spot == k.spot);
                 let most = want.map_or(0, |w| w.most);
                 let asked = self.rental.asked(|o| o.machine_type == k.machine_type);
-                let lacking = self.lacking(ctx, &live, k).saturating_sub(coming(k));
+                let lacking = lacking.get(k).map_or(0, |n| n.saturating_sub(coming(k)));
                 most.saturating_sub(count(&k.machine_type) + asked).max(lacking)
             };
             // What is rented beyond a cut cannot be reached.
@@ -443,7 +446,9 @@
             return;
         }
         self.rental.next_list = ctx.now + (ctx.cfg.list_lag_ms / 2).max(1000);
-        self.strike_unlisted(ctx, calls, &all);
+        if !more {
+            self.strike_unlisted(ctx, calls, &all);
+        }
         for l in all {
             if self.returned.contains(&l.machine) {
                 continue;
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -449,6 +449,7 @@
     failing_job_backs_off
     cancel_stops_tasks
     leader_without_workers
+    long_outage_keeps_the_leader
     leader_with_one_worker_heard
     late_copies_after_takeover
     copy_of_a_machine_that_is_gone
