--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -444,6 +444,7 @@
     duplicate_in_a_group
     unknown_and_ended_jobs
     roster_before_start
+    starts_go_out_with_the_answer
     lapsed_machine_waits_for_the_roster
     own_earlier_process
     failing_job_backs_off
