Rent nothing where an earlier leader's machines are silent

Excluded: the cut's own leader (it holds the zone as cut).

A zone of which more than half of the machines that were in use have not spoken since the takeover gets no rental.

--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -115,6 +115,8 @@
     pub greeted: u32,
     /// In this reign it has reported with our token, or surely holds nothing of earlier leaders.
     pub accounted: bool,
+    /// The roster that an earlier leader left says that it was in use.
+    pub expected: bool,
     /// Its lease has surely ended since it last reported.
     pub lapsed: bool,
     pub entries: BTreeMap<(TaskId, Attempt), Entry>,
@@ -155,6 +157,7 @@
             ours: false,
             greeted: 0,
             accounted: true,
+            expected: false,
             lapsed: false,
             entries: BTreeMap::new(),
             durable: false,
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -161,9 +161,9 @@
                 most.saturating_sub(count(&k.machine_type) + asked).max(lacking)
             };
             // What is rented beyond a cut cannot be reached.
-            let mut open = kinds
-                .into_iter()
-                .filter(|k| self.rental.open(k, ctx.now) && !self.cut_until.contains_key(&k.zone));
+            let reached = |zone: &str| !self.cut_until.contains_key(zone) && !self.unheard(zone);
+            let mut open =
+                kinds.into_iter().filter(|k| self.rental.open(k, ctx.now) && reached(&k.zone));
             let Some((n, kind)) = open.find_map(|k| Some((short(&k), k)).filter(|(n, _)| *n > 0))
             else {
                 break;
@@ -312,6 +312,17 @@
         calls.cloud(purpose, CloudOp::Release(go), ctx.cfg.lease_ms / 2);
     }
 
+    /// Whether most machines of a zone that were in use under an earlier leader have not
+    /// spoken yet: that leader may have ended within a cut.
+    fn unheard(&self, zone: &str) -> bool {
+        let (mut all, mut silent) = (0, 0);
+        for m in self.machines.values().filter(|m| m.expected && m.zone == zone) {
+            all += 1;
+            silent += m.last_checkin.is_none() as usize;
+        }
+        all > 2 && silent * 2 > all
+    }
+
     /// Zones most of whose machines went silent: cut off rather than broken. They
     /// count as such for a while after, since their machines come back one by one.
     fn note_cuts(&mut self, ctx: &Ctx) {
@@ -492,3 +503,58 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::Policy;
+
+    fn settings() -> Settings {
+        Settings {
+            node: "n0".into(),
+            zone: "a".into(),
+            nodes: 3,
+            zones: vec!["a".into(), "b".into()],
+            peer_zones: vec!["a".into(), "b".into()],
+            teams: Vec::new(),
+            objectives: Vec::new(),
+            report_ms: 1_000,
+            lease_ms: 10_000,
+            cancel_ms: 30_000,
+            state_rps: 100.0,
+            write_rps: 100.0,
+            value_bytes: 4_096,
+            txn_ops: 12,
+            cloud_rps: 5.0,
+            list_lag_ms: 3_000,
+            memory_mb: 56.0,
+            incarnation: 1,
+            policy: Policy::default(),
+        }
+    }
+
+    /// A leader that ended within a cut leaves a successor that has heard nothing of the
+    /// zone beyond it: what it rents there is paid for and cannot be reached.
+    #[test]
+    fn nothing_is_rented_where_an_earlier_leaders_machines_are_silent() {
+        let (cfg, table) = (settings(), Table::new(10));
+        let ctx = Ctx { cfg: &cfg, types: &[], table: &table, now: 500, wall: 0, entitled: true };
+        let mut reign = Reign::new(&ctx, Token(2), 1);
+        for i in 0..8 {
+            let zone = if i < 4 { "a" } else { "b" };
+            let id = MachineId(format!("m-{i}").into());
+            let mut m = Machine::new(id.clone(), "x", zone, false, 0);
+            m.expected = true;
+            // Zone a has spoken, but for one; of zone b one was rented since.
+            m.last_checkin = (i < 3).then_some(400);
+            reign.machines.insert(id, m);
+        }
+        let new = MachineId("m-9".into());
+        reign.machines.insert(new.clone(), Machine::new(new, "x", "b", false, 400));
+        assert!(!reign.unheard("a") && reign.unheard("b"));
+        for m in reign.machines.values_mut().filter(|m| m.zone == "b").take(2) {
+            m.last_checkin = Some(500);
+        }
+        assert!(!reign.unheard("b"), "half of its machines have spoken");
+    }
+}
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -44,6 +44,7 @@
                         // be on it, unless the roster says that nothing is.
                         m.accounted = e.free;
                         m.durable = !e.free;
+                        m.expected = !e.free;
                         m.part = Some(part);
                         m.renewed = self.since;
                         self.machines.insert(e.id.clone(), m);
