--- a/crates/basaltrail-core/src/model.rs
+++ b/crates/basaltrail-core/src/model.rs
@@ -188,7 +188,7 @@
         return u32::MAX;
     }
     let n = ((have + 1e-6) / need).floor();
-    if n <= 0.0 {
+    if n.is_nan() || n <= 0.0 {
         0
     } else {
         n.min(1e9) as u32
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -283,10 +283,7 @@
     /// Tasks of a job that its team's limit still allows.
     fn limit_room(&self, ctx: &Ctx, id: JobId, used: &[(f64, f64)]) -> u32 {
         let Some(j) = self.jobs.get(&id) else { return 0 };
-        let (team, used) = (&ctx.cfg.teams[j.team], used[j.team]);
-        fits(team.cpus_max - used.0, j.spec.cpus)
-            .min(fits(team.gpus_max - used.1, j.spec.gpus))
-            .min(j.pending())
+        ctx.cfg.teams[j.team].room(used[j.team], &j.spec).min(j.pending())
     }
 
     /// Keeps the machine with most room that the job may use from others in this pass, so
@@ -492,8 +489,7 @@
         for id in blocked {
             let Some(j) = self.jobs.get(id) else { continue };
             let team = &ctx.cfg.teams[j.team];
-            let limit = fits(team.cpus_max - used[j.team].0, j.spec.cpus);
-            let mut want = j.spec.cpus * j.pending().min(limit) as f64;
+            let mut want = j.spec.cpus * self.limit_room(ctx, *id, used) as f64;
             let from_coming = coming.min(want);
             coming -= from_coming;
             want -= from_coming;
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -1,16 +1,31 @@
 //! What the platform and the operator set. Constants elsewhere are ratios to these.
 
-use crate::model::{JobSpec, Ms};
+use crate::model::{fits, JobSpec, Ms};
 
 #[derive(Clone, Debug)]
 pub struct Team {
     pub name: String,
+    /// Guaranteed; 0 for a guest.
     pub cpus: f64,
+    /// Infinite where there is no limit.
     pub cpus_max: f64,
     pub gpus: f64,
     pub gpus_max: f64,
 }
 
+impl Team {
+    /// How many more tasks of a job the limit allows beside what may be in use.
+    pub fn room(&self, used: (f64, f64), job: &JobSpec) -> u32 {
+        // What an unknown type of machine may hold is infinite as well: nothing of it
+        // counts against a team without a limit.
+        let of = |max: f64, used: f64, need: f64| match max.is_infinite() {
+            true => u32::MAX,
+            false => fits(max - used, need),
+        };
+        of(self.cpus_max, used.0, job.cpus).min(of(self.gpus_max, used.1, job.gpus))
+    }
+}
+
 /// When a job of a class should be complete.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Objective {
@@ -130,3 +145,41 @@
         self.policy.weights.iter().find(|(n, _)| *n == t.name).map_or(t.cpus.max(1.0), |(_, w)| *w)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::model::{JobSpec, Priority};
+
+    /// What nobody knows the use of counts in full: an infinite use of no limit is no amount.
+    #[test]
+    fn a_team_without_a_limit_has_room_for_all() {
+        let inf = f64::INFINITY;
+        let team =
+            |max| Team { name: "t".into(), cpus: 0.0, cpus_max: max, gpus: 0.0, gpus_max: inf };
+        let job = JobSpec {
+            class: "c".into(),
+            team: "t".into(),
+            priority: Priority::Low,
+            tasks: 9,
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            image: "i".into(),
+            image_gb: 1.0,
+            estimate_s: 1.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        };
+        assert_eq!(team(inf).room((inf, inf), &job), u32::MAX);
+        assert_eq!(team(inf).room((1e9, 0.0), &job), u32::MAX);
+        assert_eq!(team(16.0).room((8.0, 0.0), &job), 2);
+        assert_eq!(team(16.0).room((inf, 0.0), &job), 0);
+    }
+}
--- a/crates/basaltrail/src/settings.rs
+++ b/crates/basaltrail/src/settings.rs
@@ -69,7 +69,9 @@
 #[derive(Deserialize)]
 struct TeamEntry {
     name: String,
+    #[serde(default)]
     cpus: f64,
+    #[serde(default)]
     cpus_max: f64,
     #[serde(default)]
     gpus: f64,
@@ -163,12 +165,15 @@
         if teams.iter().any(|o: &Team| o.name == t.name) {
             return Err(fail(format!("team {:?} is named twice", t.name)));
         }
+        // A limit of 0 is none: read as an amount, it would refuse for good what a guest
+        // team submits.
+        let limit = |max: f64| if max > 0.0 { max } else { f64::INFINITY };
         teams.push(Team {
             name: t.name.clone(),
             cpus: t.cpus,
-            cpus_max: t.cpus_max,
+            cpus_max: limit(t.cpus_max),
             gpus: t.gpus,
-            gpus_max: t.gpus_max,
+            gpus_max: limit(t.gpus_max),
         });
     }
     if teams.is_empty() {
@@ -232,6 +237,24 @@
         assert!(p.core.objectives.contains(&begun), "{:?}", p.core.objectives);
     }
 
+    /// A guest team has no guarantee and no limit, written as 0 or not at all.
+    #[test]
+    fn an_amount_of_zero_is_none() {
+        let team = "[[params.teams]]\nname = \"guest\"\n";
+        for amounts in ["", "cpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"] {
+            let text = GOOD.replacen(
+                "[[params.objectives]]",
+                &format!("{team}{amounts}\n[[params.objectives]]"),
+                1,
+            );
+            let p = parse("s.toml", &text).unwrap();
+            let guest = &p.core.teams[2];
+            assert_eq!((guest.cpus, guest.cpus_max), (0.0, f64::INFINITY));
+            assert!(p.core.weight(2).is_finite() && p.core.weight(2) > 0.0);
+            assert_eq!(p.core.teams[0].cpus_max, 664.0);
+        }
+    }
+
     #[test]
     fn bad_settings_say_where() {
         let told = |from: &str, to: &str| {
