Jobs are judged by different machines, machines by different jobs

Now: health.rs. A job keeps away for three leases from a machine where it failed and goes on at once elsewhere; failing on two machines (four once a task ended well) it tries one task at a time at growing pauses, counts for that task only, and is told of to the next leader in the ledger's value. A machine is faulty by two different jobs that ended well elsewhere.

--- a/crates/basaltrail-core/src/fairness.rs
+++ b/crates/basaltrail-core/src/fairness.rs
@@ -73,7 +73,12 @@
         }
     }
 
-    pub fn record(&self, settings: &Settings, leases_end: WallMs) -> LedgerRecord {
+    pub fn record(
+        &self,
+        settings: &Settings,
+        leases_end: WallMs,
+        suspects: Vec<JobId>,
+    ) -> LedgerRecord {
         let round = |x: f64| (x * 10.0).round() / 10.0;
         LedgerRecord {
             teams: settings
@@ -83,6 +88,7 @@
                 .map(|(t, a)| (t.name.clone(), round(a.received), round(a.fair)))
                 .collect(),
             leases_end,
+            suspects,
         }
     }
 }
--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -3,6 +3,7 @@
 //! Everything here errs to one side: a task counts as on a machine until that
 //! machine's own newer report, the end of its session or its certain return says no.
 
+use crate::health::MachineHealth;
 use crate::model::*;
 use std::collections::BTreeMap;
 
@@ -133,7 +134,7 @@
     pub first_listed: Option<Ms>,
     /// Images it has had, newest last, with sizes.
     pub images: Vec<(String, f64)>,
-    pub faults: u32,
+    pub health: MachineHealth,
     pub no_room_until: Ms,
 }
 
@@ -170,7 +171,7 @@
             listed: None,
             first_listed: None,
             images: Vec::new(),
-            faults: 0,
+            health: MachineHealth::default(),
             no_room_until: 0,
         }
     }
@@ -209,6 +210,10 @@
         self.gone_at.is_some_and(|t| t > now)
     }
 
+    pub fn faulty(&self, now: Ms, lease_ms: Ms) -> bool {
+        self.health.faulty(self.idle_since, now, lease_ms)
+    }
+
     pub fn empty(&self) -> bool {
         self.entries.values().all(|e| !e.holds())
     }
--- a/crates/basaltrail-core/src/jobs.rs
+++ b/crates/basaltrail-core/src/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs: the table every node keeps of them, and the leader's account of their tasks.
 
 use crate::fairness::Account;
+use crate::health::JobHealth;
 use crate::model::*;
 use crate::records::*;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -93,10 +94,7 @@
     pub account: Account,
     pub started: bool,
     pub ended: Option<Final>,
-    pub errors: u32,
-    pub not_before: Ms,
-    /// Machines on which it failed, for telling faulty jobs from faulty machines.
-    pub failed_on: BTreeSet<MachineId>,
+    pub health: JobHealth,
 }
 
 impl RunJob {
@@ -117,9 +115,7 @@
             account: Account::default(),
             started: false,
             ended: None,
-            errors: 0,
-            not_before: 0,
-            failed_on: BTreeSet::new(),
+            health: JobHealth::default(),
         }
     }
 
--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fairness;
 pub mod fleet;
 pub mod frontdoor;
+pub mod health;
 pub mod io;
 pub mod jobs;
 pub mod model;
--- a/crates/basaltrail-core/src/placement.rs
+++ b/crates/basaltrail-core/src/placement.rs
@@ -68,6 +68,8 @@
     pub spread: &'a Spread,
     /// Tasks to be placed at the most.
     pub want: u32,
+    /// Machines where it failed.
+    pub avoid: &'a dyn Fn(&MachineId) -> bool,
 }
 
 /// Picks a machine for a wish; gives its place in `rooms` and how many tasks fit.
@@ -80,14 +82,14 @@
     has_image: impl Fn(&MachineId) -> bool,
     rng: &mut R,
 ) -> Option<(usize, u32)> {
-    let Wish { job, spread, want } = *wish;
+    let Wish { job, spread, want, avoid } = *wish;
     let consider = |i: usize| -> Option<(f64, usize, u32)> {
         let r = &rooms[i];
         if r.spot && !job.spot || !types[r.type_index].allowed(job) {
             return None;
         }
         let n = r.holds(job).min(want).min(spread.room(job, &r.zone));
-        if n == 0 {
+        if n == 0 || avoid(&r.machine) {
             return None;
         }
         let left = r.cpus - job.cpus * n as f64;
--- a/crates/basaltrail-core/src/records.rs
+++ b/crates/basaltrail-core/src/records.rs
@@ -54,6 +54,9 @@
     pub teams: Vec<(String, f64, f64)>,
     /// Time of day at which the grants of the round end.
     pub leases_end: WallMs,
+    /// Jobs that fail wherever they go: a successor need not learn it at others' cost.
+    #[serde(rename = "sick", default, skip_serializing_if = "Vec::is_empty")]
+    pub suspects: Vec<JobId>,
 }
 
 pub fn active_key(job: JobId) -> String {
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -106,8 +106,8 @@
 const SOON_LEASES: f64 = 2.0;
 /// The part of its estimate that a task nearly always runs.
 const SURELY_RUNS: f64 = 0.7;
-/// Failures in a row after which a machine gets no more work.
-const FAULTY: u32 = 4;
+/// Jobs that fail everywhere, of which a successor is told.
+const SUSPECTS_TOLD: usize = 64;
 /// The cloud takes no larger rental.
 const RENT_MOST: usize = 50;
 /// Rentals on their way at once: one after the other, a fleet that begins with no machine
@@ -167,6 +167,8 @@
     pub machines: BTreeMap<MachineId, Machine>,
     pub jobs: BTreeMap<JobId, RunJob>,
     loaded_done: BTreeMap<JobId, Vec<(u32, String)>>,
+    /// Jobs that an earlier leader found to fail everywhere.
+    inherited: BTreeSet<JobId>,
     ledger: Ledger,
     round_ends: Ms,
     fleet_cpus: f64,
@@ -238,6 +240,7 @@
             machines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             loaded_done: BTreeMap::new(),
+            inherited: BTreeSet::new(),
             ledger: Ledger::new(ctx.cfg, None, ctx.now),
             round_ends: ctx.now,
             fleet_cpus: 0.0,
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -27,7 +27,7 @@
             && !m.lapsed
             && m.returning == Returning::No
             && !m.notice(ctx.now)
-            && m.faults < FAULTY
+            && !m.faulty(ctx.now, ctx.cfg.lease_ms)
             && ctx.now >= m.no_room_until
             && m.last_checkin.is_some_and(|t| ctx.now <= t + ctx.cfg.report_ms * 2)
     }
@@ -91,7 +91,7 @@
         }
         let dt = self.ledger.accrue(ctx.cfg, ctx.now, fleet, &running);
         let mut active = vec![0u32; teams];
-        for j in self.jobs.values().filter(|j| j.ended.is_none()) {
+        for j in self.jobs.values().filter(|j| j.ended.is_none() && !j.health.suspect()) {
             active[j.team] += 1;
         }
         for j in self.jobs.values_mut().filter(|j| j.ended.is_none()) {
@@ -110,7 +110,8 @@
         for (team, (used, _)) in used.iter().enumerate() {
             let mut open: BTreeMap<Reverse<Priority>, Vec<Candidate>> = BTreeMap::new();
             let (mut cpus, mut work) = (0.0, 0.0);
-            for j in self.jobs.values().filter(|j| j.team == team && j.ended.is_none()) {
+            let open_here = |j: &&RunJob| j.team == team && j.ended.is_none();
+            for j in self.jobs.values().filter(open_here).filter(|j| !j.health.suspect()) {
                 let need = j.pending() as f64 * j.spec.cpus;
                 let all = need + j.placed.len() as f64 * j.spec.cpus;
                 cpus += all;
@@ -145,15 +146,19 @@
         self.reach = self.find_reach(ctx, &used);
         // Jobs that may get tasks placed now, per team.
         let mut waiting: Vec<Vec<JobId>> = vec![Vec::new(); ctx.cfg.teams.len()];
+        let mut tries: Vec<JobId> = Vec::new();
         for j in self.jobs.values() {
             // What an earlier leader may have started waits until every machine of the
             // roster is accounted for; a job accepted since cannot have been started.
             if j.pending() > 0
-                && j.not_before <= ctx.now
+                && j.health.not_before() <= ctx.now
                 && !self.unknown.contains(&j.id)
                 && (all_accounted || j.stamp > self.stamp)
             {
-                waiting[j.team].push(j.id);
+                match j.health.suspect() {
+                    true => tries.push(j.id),
+                    false => waiting[j.team].push(j.id),
+                }
             }
         }
         for ids in &mut waiting {
@@ -188,6 +193,9 @@
         unbegun.sort();
         let mut pass =
             Pass { waiting: Vec::new(), used: Vec::new(), unbegun: Vec::new(), held: None };
+        // One task of a job that fails everywhere costs the others next to nothing, and
+        // shows when its mistake is gone.
+        tries.retain(|id| !self.grant_one(ctx, *id, 1, &mut rooms, &mut used, rng));
         for (_, id, team) in unbegun {
             if !self.grant_one(ctx, id, 1, &mut rooms, &mut used, rng) {
                 if self.limit_room(ctx, id, &used) == 0 {
@@ -204,6 +212,7 @@
                 waiting[team].retain(|j| *j != id);
             }
         }
+        pass.unbegun.append(&mut tries);
         pass.waiting.clone_from(&waiting);
         loop {
             let heads = waiting.iter().enumerate().filter_map(|(t, ids)| Some((t, *ids.first()?)));
@@ -221,9 +230,12 @@
             }
         }
         self.short_of_room = !blocked.is_empty();
-        let jobs = self.jobs.values().filter(|j| j.pending() > 0).map(|j| j.not_before);
+        let open = || self.jobs.values().filter(|j| j.pending() > 0);
+        let pauses = open().map(|j| j.health.not_before());
+        let avoided = open().filter_map(|j| j.health.avoids_until(ctx.now));
         let machines = self.machines.values().map(|m| m.no_room_until);
-        self.wake_at = jobs.chain(machines).filter(|t| *t > ctx.now).min().unwrap_or(Ms::MAX);
+        self.wake_at =
+            pauses.chain(avoided).chain(machines).filter(|t| *t > ctx.now).min().unwrap_or(Ms::MAX);
         self.preempt(ctx, calls, &blocked, &used, &rooms);
         pass.used = used;
         self.pass = Some(pass);
@@ -276,7 +288,7 @@
 
     /// Whether tasks of a job that the last pass ranked may still be started.
     fn may_start(&self, ctx: &Ctx, id: &JobId) -> bool {
-        let ready = |j: &RunJob| j.pending() > 0 && j.not_before <= ctx.now;
+        let ready = |j: &RunJob| j.pending() > 0 && j.health.not_before() <= ctx.now;
         self.jobs.get(id).is_some_and(ready) && !self.unknown.contains(id)
     }
 
@@ -392,6 +404,7 @@
         let want = self.limit_room(ctx, id, used).min(most);
         let need = self.need(id);
         let Some(j) = self.jobs.get_mut(&id).filter(|_| want > 0) else { return 0 };
+        let want = want.min(j.health.room(j.placed.len()));
         let mut spread = Spread::default();
         if j.spec.one_zone || j.spec.spread {
             for m in self.machines.values() {
@@ -404,7 +417,8 @@
         let machines = &self.machines;
         let image = |m: &MachineId| machines.get(m).is_some_and(|m| m.has_image(&j.spec.image));
         let sample = ctx.cfg.policy.sample;
-        let wish = Wish { job: &j.spec, spread: &spread, want };
+        let avoid = |m: &MachineId| j.health.avoids(m, ctx.now);
+        let wish = Wish { job: &j.spec, spread: &spread, want, avoid: &avoid };
         let Some((at, n)) = choose(rooms, ctx.types, &wish, sample, image, rng) else {
             return 0;
         };
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -16,12 +16,14 @@
             let Some((i, t)) = fit.min_by(|a, b| price(a.1).total_cmp(&price(b.1))) else {
                 continue;
             };
-            let open = j.spec.tasks.saturating_sub(j.done.count());
+            // One that fails everywhere asks for its next try, and for nothing in a pause.
+            let pending = j.pending().min(j.health.room(j.placed.len()));
+            let open = pending + j.placed.len() as u32;
             let n = open.min(fits(left[j.team], j.spec.cpus));
             left[j.team] -= n as f64 * j.spec.cpus;
             out[i].machines += n as f64 / t.holds(&j.spec) as f64;
             // Running tasks are half done on the average.
-            let tasks = j.pending() as f64 + j.placed.len() as f64 / 2.0;
+            let tasks = pending as f64 + j.placed.len() as f64 / 2.0;
             let cpus = (tasks * j.spec.cpus).min(ctx.cfg.teams[j.team].cpus_max);
             out[i].work += cpus * j.spec.estimate_s.max(1.0);
         }
@@ -41,7 +43,8 @@
                 && ty.holds(s) > 0
         };
         let mut most = 0;
-        for j in self.jobs.values().filter(|j| j.pending() > 0 && wishes(&j.spec)) {
+        let healthy = |j: &&RunJob| !j.health.suspect();
+        for j in self.jobs.values().filter(healthy).filter(|j| j.pending() > 0 && wishes(&j.spec)) {
             if !fits_kind(&j.spec, t, &kind.zone, kind.spot) {
                 continue;
             }
@@ -136,7 +139,8 @@
         let live: Vec<&Machine> = self
             .machines
             .values()
-            .filter(|m| m.returning == Returning::No && !m.notice(ctx.now) && m.faults < FAULTY)
+            .filter(|m| m.returning == Returning::No && !m.notice(ctx.now))
+            .filter(|m| !m.faulty(ctx.now, ctx.cfg.lease_ms))
             .collect();
         let mut have: BTreeMap<String, usize> = BTreeMap::new();
         let mut fleet: BTreeMap<Kind, usize> = BTreeMap::new();
@@ -272,7 +276,7 @@
                 "unheard"
             } else if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
                 "drained"
-            } else if up && m.faults >= FAULTY && m.empty() {
+            } else if up && m.empty() && m.faulty(ctx.now, ctx.cfg.lease_ms) {
                 "faulty"
             } else if up || !m.accounted {
                 continue;
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -17,10 +17,11 @@
 
     pub(super) fn change(
         &mut self,
+        ctx: &Ctx,
         machine: &MachineId,
         change: Change,
-        now: Ms,
     ) -> Option<String> {
+        let now = ctx.now;
         match change {
             Change::Gone { task, attempt } => {
                 if let Some(j) = self.jobs.get_mut(&task.job) {
@@ -63,6 +64,7 @@
                     self.unknown.insert(task.job);
                     return None;
                 };
+                let mut failed_before = BTreeSet::new();
                 if why == Why::Done {
                     if j.mark_done(task.index) {
                         self.unwritten.insert(task.job);
@@ -70,8 +72,8 @@
                     if j.complete() {
                         self.complete.insert(task.job);
                     }
-                    j.errors = 0;
-                    m.faults = 0;
+                    failed_before = j.health.ended_well(machine);
+                    m.health.ended_well();
                 }
                 let ours = j.free(task.index, machine, attempt);
                 if !ours || j.ended.is_some() {
@@ -79,30 +81,32 @@
                 }
                 match why {
                     Why::Error => {
-                        // A job that fails at once costs its team nearly nothing and
-                        // would win every round: it waits longer after each failure.
-                        j.errors += 1;
-                        j.failed_on.insert(machine.clone());
-                        let wait = 500u64 << j.errors.min(7);
-                        j.not_before = now + wait;
-                        // One bad job must not condemn machines: only failures of jobs
-                        // that did not fail on several machines count against one.
-                        if j.failed_on.len() <= 2 {
-                            m.faults += 1;
+                        let first = j.health.failed(machine, now, ctx.cfg.lease_ms);
+                        if j.health.proven() {
+                            m.health.blame(task.job, now);
                         }
-                        return Some(format!(
-                            "job={} task={} machine={} errors={} ran_ms={}",
-                            task.job,
-                            task.index,
-                            machine,
-                            j.errors,
-                            ran_ms.unwrap_or(0)
-                        ));
+                        // A line for each task of an array would be thousands.
+                        return first.then(|| {
+                            format!(
+                                "job={} task={} machine={} suspect={} ran_ms={}",
+                                task.job,
+                                task.index,
+                                machine,
+                                j.health.suspect(),
+                                ran_ms.unwrap_or(0)
+                            )
+                        });
                     }
                     Why::NoRoom => m.no_room_until = now + 2000,
-                    Why::Unknown => j.not_before = now + 2000,
+                    Why::Unknown => j.health.pause(now + 2000),
                     _ => {}
                 }
+                // It was not the job.
+                for other in failed_before.iter().filter(|o| *o != machine) {
+                    if let Some(m) = self.machines.get_mut(other) {
+                        m.health.blame(task.job, now);
+                    }
+                }
                 None
             }
         }
@@ -116,7 +120,7 @@
         changes: Vec<Change>,
     ) {
         for c in changes {
-            if let Some(detail) = self.change(machine, c, ctx.now) {
+            if let Some(detail) = self.change(ctx, machine, c) {
                 calls.log(Level::Info, "task_failed", detail);
             }
         }
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -74,6 +74,8 @@
                     self.stamps.insert(i.key.clone(), i.stamp);
                     let record: Option<LedgerRecord> = decode(&i.value);
                     self.ledger = Ledger::new(ctx.cfg, record.as_ref(), ctx.now);
+                    let told = record.map(|r| r.suspects).unwrap_or_default();
+                    self.inherited.extend(told.into_iter().take(SUSPECTS_TOLD));
                 }
                 self.loading = Loading::Complete;
                 let ids: Vec<JobId> = self.jobs.keys().copied().collect();
@@ -101,15 +103,16 @@
     }
 
     fn apply_loaded(&mut self, job: JobId) {
-        if let (Some(j), Some(parts)) = (self.jobs.get_mut(&job), self.loaded_done.remove(&job)) {
-            for (part, text) in parts {
-                j.done.add_part(part, &text);
-                j.durable.add_part(part, &text);
-                j.parts.insert(part);
-            }
-            if j.complete() {
-                self.complete.insert(job);
-            }
+        let suspect = self.inherited.contains(&job);
+        let Some(j) = self.jobs.get_mut(&job) else { return };
+        for (part, text) in self.loaded_done.remove(&job).unwrap_or_default() {
+            j.done.add_part(part, &text);
+            j.durable.add_part(part, &text);
+            j.parts.insert(part);
+        }
+        j.health.inherit(suspect, j.done.count() > 0);
+        if j.complete() {
+            self.complete.insert(job);
         }
     }
 
@@ -125,7 +128,7 @@
                 if self.loaded() {
                     self.apply_loaded(job);
                 }
-                self.adopt(job);
+                self.adopt(ctx, job);
             }
             self.changed = true;
         } else if let Some(end) = ctx.table.ended(job) {
@@ -143,7 +146,7 @@
     }
 
     /// Tasks that machines told of before the job was known.
-    fn adopt(&mut self, job: JobId) {
+    fn adopt(&mut self, ctx: &Ctx, job: JobId) {
         let mut found = Vec::new();
         for m in self.machines.values() {
             for ((task, attempt), e) in &m.entries {
@@ -159,7 +162,7 @@
             }
         }
         for (machine, change) in found {
-            self.change(&machine, change, 0);
+            self.change(ctx, &machine, change);
         }
     }
 
--- a/crates/basaltrail-core/src/reign/writing.rs
+++ b/crates/basaltrail-core/src/reign/writing.rs
@@ -165,7 +165,10 @@
             f.ledger = true;
             let leases_end = ctx.wall + (ctx.cfg.policy.lease_term_s * 1000.0) as WallMs;
             f.keys.push(LEDGER.into());
-            t.put(stamp(LEDGER), LEDGER.into(), encode(&self.ledger.record(ctx.cfg, leases_end)));
+            let sick = self.jobs.values().filter(|j| j.ended.is_none() && j.health.suspect());
+            let suspects = sick.map(|j| j.id).take(SUSPECTS_TOLD).collect();
+            let record = self.ledger.record(ctx.cfg, leases_end, suspects);
+            t.put(stamp(LEDGER), LEDGER.into(), encode(&record));
         }
         if self.home_due
             && !self.refresh.contains_key(HOME)
