--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -30,6 +30,8 @@
     pub running_since: Option<Ms>,
     /// Whether its outcome was taken into the job's account.
     pub settled: bool,
+    /// Placed when no task of its job had begun.
+    pub first: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -325,6 +327,7 @@
                 since: now,
                 running_since: None,
                 settled: false,
+                first: false,
             });
             e.place = Place::Told(state);
             if state == TaskState::Running && e.running_since.is_none() {
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -104,6 +104,8 @@
 const UNBEGUN_LEASES: WallMs = 9;
 /// Workers' leases that a job must have to lose to wait for room rather than stop others.
 const SOON_LEASES: f64 = 2.0;
+/// Workers' leases that the first tasks of a job run before they may be stopped for others.
+const FIRST_LEASES: f64 = 3.5;
 /// The part of its estimate that a task nearly always runs.
 const SURELY_RUNS: f64 = 0.7;
 /// Jobs that fail everywhere, of which a successor is told.
@@ -321,7 +323,7 @@
             }
             self.ledger_due = true;
             self.note_home();
-            self.log_round(calls);
+            self.log_round(ctx, calls);
             self.changed = true;
         }
         if (self.changed || ctx.now >= self.wake_at) && ctx.entitled {
@@ -366,13 +368,14 @@
     }
 
     /// One line a round: how the machines are used.
-    fn log_round(&self, calls: &mut Calls) {
+    fn log_round(&self, ctx: &Ctx, calls: &mut Calls) {
         let mut count = [0usize; 3];
         for m in self.machines.values() {
             let up = m.last_checkin.is_some() && !m.lapsed;
             count[if up { m.spot as usize } else { 2 }] += 1;
         }
         let mut cpus = [0.0f64; 4];
+        let mut teams = vec![(0.0f64, 0.0f64); ctx.cfg.teams.len()];
         for e in self.machines.values().flat_map(|m| m.entries.values()) {
             let n = e.need.map_or(0.0, |n| n.cpus);
             let i = match e.place {
@@ -383,14 +386,26 @@
                 Place::Told(TaskState::Exited(_)) => continue,
             };
             cpus[i] += n;
+            if let Some(n) = e.need {
+                teams[n.team].0 += n.cpus;
+            }
+        }
+        for j in self.jobs.values() {
+            teams[j.team].1 += j.pending() as f64 * j.spec.cpus;
         }
-        let waiting: f64 = self.jobs.values().map(|j| j.pending() as f64 * j.spec.cpus).sum();
+        let waiting: f64 = teams.iter().map(|(_, w)| w).sum();
+        let by_team: Vec<String> = teams
+            .iter()
+            .zip(&ctx.cfg.teams)
+            .map(|((has, waits), t)| format!("{}:{has}+{waits}", t.name))
+            .collect();
         calls.log(
             Level::Debug,
             "round",
             format!(
-                "ordinary={} spot={} down={} sent={} fetching={} running={} saving={} waiting={waiting}",
-                count[0], count[1], count[2], cpus[0], cpus[1], cpus[2], cpus[3]
+                "ordinary={} spot={} down={} sent={} fetching={} running={} saving={} waiting={waiting} \
+                 teams={}",
+                count[0], count[1], count[2], cpus[0], cpus[1], cpus[2], cpus[3], by_team.join(",")
             ),
         );
     }
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -119,7 +119,13 @@
                 let c = Candidate { job: j.id, need, spares: spares_s(ctx, j) };
                 open.entry(Reverse(j.spec.priority)).or_default().push(c);
             }
-            let share = Ledger::quota(ctx.cfg, team, self.fleet_cpus).max(*used);
+            let share = match ctx.cfg.teams[team].guest() {
+                // Nobody knows what the others will leave it. By its quota nothing of it
+                // could be in time, and its longest tasks would go first.
+                true => self.fleet_cpus,
+                false => Ledger::quota(ctx.cfg, team, self.fleet_cpus),
+            };
+            let share = share.max(*used);
             let per_s = share * cpus / work.max(1.0);
             let mut at_once = share - used;
             for (_, candidates) in open {
@@ -442,6 +448,7 @@
                     since: ctx.now,
                     running_since: None,
                     settled: false,
+                    first: !j.started,
                 },
             );
             placed += 1;
@@ -465,7 +472,11 @@
                 let Some(n) = e.need.filter(|n| n.save_s.is_some()) else { continue };
                 // Stopping what has just begun costs more than it ran.
                 let ran = e.running_since.map_or(0, |t| ctx.now - t) as f64 / 1000.0;
-                let young = n.save_s.is_some_and(|save| ran < 4.0 * save);
+                let young_s = n.save_s.map_or(0.0, |save| 4.0 * save);
+                // A job whose first task is stopped as it begins has waited in vain.
+                let first_s =
+                    if e.first { FIRST_LEASES * ctx.cfg.lease_ms as f64 / 1000.0 } else { 0.0 };
+                let young = ran < young_s.max(first_s);
                 if !e.runs() || e.stop.is_some() || young {
                     continue;
                 }
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -14,6 +14,11 @@
 }
 
 impl Team {
+    /// Without a guarantee: what it runs is borrowed.
+    pub fn guest(&self) -> bool {
+        self.cpus <= 0.0
+    }
+
     /// How many more tasks of a job the limit allows beside what may be in use.
     pub fn room(&self, used: (f64, f64), job: &JobSpec) -> u32 {
         // What an unknown type of machine may hold is infinite as well: nothing of it
