--- a/crates/basaltrail-core/tests/simulation.rs
+++ b/crates/basaltrail-core/tests/simulation.rs
@@ -17,7 +17,8 @@
 const CPUS: f64 = 8.0;
 const NODES: usize = 3;
 const ZONES: [&str; 2] = ["a", "b"];
-const CPUS_MAX: [f64; 2] = [24.0, 40.0];
+/// The last team is a guest: no guarantee and no limit.
+const CPUS_MAX: [f64; 3] = [24.0, 40.0, f64::INFINITY];
 /// Once the troubles are over, a job is spoken of within this.
 const KNOWN: u64 = 75_000;
 const FAULTS_END: u64 = 160_000;
@@ -26,7 +27,7 @@
 fn settings(node: usize, incarnation: u64) -> Settings {
     let team = |i: usize| Team {
         name: format!("t{i}"),
-        cpus: CPUS_MAX[i] / 2.0,
+        cpus: if CPUS_MAX[i].is_finite() { CPUS_MAX[i] / 2.0 } else { 0.0 },
         cpus_max: CPUS_MAX[i],
         gpus: 0.0,
         gpus_max: 0.0,
@@ -37,7 +38,7 @@
         nodes: NODES,
         zones: ZONES.map(String::from).to_vec(),
         peer_zones: (0..NODES).filter(|n| *n != node).map(|n| ZONES[n % 2].into()).collect(),
-        teams: vec![team(0), team(1)],
+        teams: (0..CPUS_MAX.len()).map(team).collect(),
         objectives: vec![Objective::Finished { class: "c".into(), within_s: 60.0 }],
         report_ms: REPORT,
         lease_ms: LEASE,
@@ -214,6 +215,8 @@
     died: Option<u64>,
     /// When it was returned or taken: it is listed no more.
     gone: Option<u64>,
+    /// Every task fails there.
+    faulty: bool,
     /// When the cloud takes it back, and whether it says so before.
     taken_at: Option<u64>,
     noticed: bool,
@@ -240,6 +243,8 @@
     spec: JobSpec,
     at: u64,
     cancel_at: Option<u64>,
+    /// Submitted with a mistake: its tasks fail everywhere.
+    broken: bool,
     told: Told,
     asked_to_cancel: bool,
     done: BTreeSet<u32>,
@@ -278,6 +283,8 @@
     frozen_until: u64,
     /// Cut off from the cloud and the users too.
     island_until: u64,
+    /// Cut off from the workers, and whether what is sent is held or lost.
+    workers_cut: Option<(u64, bool)>,
 }
 
 struct World {
@@ -294,6 +301,12 @@
     reqs: BTreeMap<ReqId, (bool, usize, u64)>,
     next_req: u64,
     zone_cut: Option<(u64, bool)>,
+    /// Machines rented in a zone come late or never until then.
+    boot_trouble: (usize, u64),
+    /// Users ask many times as often until then.
+    storm_until: u64,
+    /// When whoever leads then comes to stand: the successor of one that did.
+    next_freeze: u64,
     broken: Vec<String>,
     started: u64,
     /// When the last trouble is over.
@@ -311,6 +324,7 @@
             spec,
             at,
             cancel_at,
+            broken: false,
             told: Told::Nothing,
             asked_to_cancel: false,
             done: BTreeSet::new(),
@@ -329,7 +343,7 @@
         let users = (0..40)
             .map(|i| {
                 let at = rng.random_range(2_000..FAULTS_END + 20_000);
-                let team = rng.random_range(0..2);
+                let team = rng.random_range(0..CPUS_MAX.len());
                 let spec = JobSpec {
                     class: "c".into(),
                     team: format!("t{team}"),
@@ -351,7 +365,12 @@
                     deadline_s: None,
                 };
                 let cancel = rng.random_bool(0.2).then(|| at + rng.random_range(1_000..40_000));
-                User::new(1000 + i, spec, at, cancel)
+                let mut user = User::new(1000 + i, spec, at, cancel);
+                if rng.random_bool(0.08) {
+                    user.broken = true;
+                    user.cancel_at = Some(at + rng.random_range(20_000..120_000));
+                }
+                user
             })
             .collect();
         World::with(rng, users)
@@ -374,6 +393,7 @@
                     freezes_until: 0,
                     frozen_until: 0,
                     island_until: 0,
+                    workers_cut: None,
                 })
                 .collect(),
             store: Store::default(),
@@ -383,6 +403,9 @@
             reqs: BTreeMap::new(),
             next_req: 0,
             zone_cut: None,
+            boot_trouble: (0, 0),
+            storm_until: 0,
+            next_freeze: u64::MAX,
             broken: Vec::new(),
             started: 0,
             quiet_at: FAULTS_END,
@@ -496,15 +519,11 @@
 
     /// When a message between a node and a worker arrives.
     fn between(&mut self, node: usize, worker: usize, at: u64) -> u64 {
-        match self.zone_cut {
-            Some((until, held)) if node % 2 != self.workers[worker].zone => {
-                if held {
-                    until + self.delay()
-                } else {
-                    u64::MAX
-                }
-            }
-            _ => at,
+        let zones = self.zone_cut.filter(|_| node % 2 != self.workers[worker].zone);
+        match zones.or(self.nodes[node].workers_cut) {
+            Some((until, true)) => until + self.delay(),
+            Some((_, false)) => u64::MAX,
+            None => at,
         }
     }
 
@@ -571,7 +590,12 @@
                     let n = (count as usize).min(3usize.saturating_sub(have));
                     let mut ids = Vec::new();
                     for _ in 0..n {
-                        let boot = if self.rng.random_bool(0.2) {
+                        let trouble = z == self.boot_trouble.0 && self.t < self.boot_trouble.1;
+                        let boot = if self.rng.random_bool(if trouble { 0.4 } else { 0.02 }) {
+                            DAY // never
+                        } else if trouble {
+                            self.rng.random_range(20_000..50_000)
+                        } else if self.rng.random_bool(0.2) {
                             1_000
                         } else {
                             self.rng.random_range(5_000..12_000)
@@ -596,6 +620,7 @@
                             rented: self.t,
                             died: None,
                             gone: None,
+                            faulty: self.rng.random_bool(0.04),
                             taken_at: None,
                             noticed: false,
                         });
@@ -742,8 +767,9 @@
                 self.check_start(m, user, key);
             }
             TaskState::Running => {
-                let fails =
-                    self.rng.random_bool(0.02) && !self.users[user].done.contains(&task.index);
+                let bad = self.users[user].broken || self.workers[m].faulty;
+                let fails = (bad || self.rng.random_bool(0.02))
+                    && !self.users[user].done.contains(&task.index);
                 let why = if fails { Why::Error } else { Why::Done };
                 if !fails {
                     self.users[user].done.insert(task.index);
@@ -909,7 +935,8 @@
             return self.send(until, usize::MAX, 0, Msg::User(i));
         }
         u.asks += 1;
-        let again = t + if u.told == Told::Nothing { 1_000 } else { 5_000 };
+        let pause = if t < self.storm_until { 600 } else { 5_000 };
+        let again = t + if u.told == Told::Nothing { 1_000 } else { pause };
         let over = matches!(u.told, Told::Done | Told::Cancelled(_));
         self.next_req += 1;
         let req = ReqId(self.next_req);
@@ -1025,10 +1052,12 @@
 
     fn fault(&mut self) {
         let t = self.t;
-        let node = self.rng.random_range(0..NODES);
+        // Half of what hits a controller hits the one that leads.
+        let leader = self.leader().filter(|_| self.rng.random_bool(0.5));
+        let node = leader.unwrap_or_else(|| self.rng.random_range(0..NODES));
         let held = self.rng.random_bool(0.6);
         let long = t + self.rng.random_range(2_000..25_000);
-        match self.rng.random_range(0..13) {
+        match self.rng.random_range(0..18) {
             0 | 1 => self.crash(node),
             2 => (0..NODES).for_each(|i| self.crash(i)),
             3 => {
@@ -1084,17 +1113,39 @@
                     c.island_until = long;
                 }
             }
+            13 => self.nodes[node].workers_cut = Some((long, held)),
+            14 => {
+                // Silent for a minute or more, and back.
+                let wait = self.rng.random_range(60_000..90_000);
+                self.end(node, wait);
+            }
+            15 => self.boot_trouble = (self.rng.random_range(0..2), long + 30_000),
+            16 => self.storm_until = long + 10_000,
+            17 => {
+                // The leader stands still, and so does its successor.
+                self.nodes[node].freezes_until = long;
+                self.next_freeze = t + self.rng.random_range(4_000..9_000);
+            }
             _ => {}
         }
         self.quiet_at = self.quiet_at.max(long).max(self.store.down_until);
     }
 
+    fn leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|c| c.node.as_ref().is_some_and(Node::leading))
+    }
+
     fn crash(&mut self, i: usize) {
+        let wait = [20, 100, 400, 3_000, 3_000][self.rng.random_range(0..5)];
+        self.end(i, wait);
+    }
+
+    /// Ends a process; it is started again after `wait`.
+    fn end(&mut self, i: usize, wait: u64) {
         self.nodes[i].node = None;
         self.nodes[i].epoch += 1;
         self.nodes[i].freezes_until = 0;
         self.nodes[i].frozen_until = 0;
-        let wait = [20, 100, 400, 3_000, 3_000][self.rng.random_range(0..5)];
         self.quiet_at = self.quiet_at.max(self.t + wait);
         let epoch = self.nodes[i].epoch;
         self.send(self.t + wait, i, epoch, Msg::Tick);
@@ -1104,6 +1155,7 @@
         let t = self.t;
         for c in &mut self.nodes {
             c.state_cut = c.state_cut.filter(|(until, _)| t < *until);
+            c.workers_cut = c.workers_cut.filter(|(until, _)| t < *until);
         }
         self.zone_cut = self.zone_cut.filter(|(until, _)| t < *until);
     }
@@ -1137,6 +1189,14 @@
             self.watch();
             self.workers();
             self.check_cancelled();
+            if self.t >= self.next_freeze {
+                self.next_freeze = u64::MAX;
+                let until = self.t + self.rng.random_range(2_000..15_000);
+                if let Some(i) = self.leader() {
+                    self.nodes[i].freezes_until = until;
+                    self.quiet_at = self.quiet_at.max(until);
+                }
+            }
             if self.t >= next_fault && self.t < FAULTS_END {
                 for _ in 0..faults_at_once {
                     self.fault();
