--- a/crates/basaltrail-core/src/jobs.rs
+++ b/crates/basaltrail-core/src/jobs.rs
@@ -132,6 +132,11 @@
         self.spec.tasks.saturating_sub(self.done.count() + self.placed.len() as u32)
     }
 
+    /// Tasks for which it may have room now, those that have it included.
+    pub fn wanted(&self) -> u32 {
+        self.placed.len() as u32 + self.pending().min(self.health.room(self.placed.len()))
+    }
+
     pub fn next_pending(&mut self) -> Option<u32> {
         loop {
             let task = match self.retry.pop_first() {
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -16,14 +16,11 @@
             let Some((i, t)) = fit.min_by(|a, b| price(a.1).total_cmp(&price(b.1))) else {
                 continue;
             };
-            // One that fails everywhere asks for its next try, and for nothing in a pause.
-            let pending = j.pending().min(j.health.room(j.placed.len()));
-            let open = pending + j.placed.len() as u32;
-            let n = open.min(fits(left[j.team], j.spec.cpus));
+            let n = j.wanted().min(fits(left[j.team], j.spec.cpus));
             left[j.team] -= n as f64 * j.spec.cpus;
             out[i].machines += n as f64 / t.holds(&j.spec) as f64;
             // Running tasks are half done on the average.
-            let tasks = pending as f64 + j.placed.len() as f64 / 2.0;
+            let tasks = j.wanted() as f64 - j.placed.len() as f64 / 2.0;
             let cpus = (tasks * j.spec.cpus).min(ctx.cfg.teams[j.team].cpus_max);
             out[i].work += cpus * j.spec.estimate_s.max(1.0);
         }
@@ -43,13 +40,13 @@
                 && ty.holds(s) > 0
         };
         let mut most = 0;
-        let healthy = |j: &&RunJob| !j.health.suspect();
-        for j in self.jobs.values().filter(healthy).filter(|j| j.pending() > 0 && wishes(&j.spec)) {
+        for j in self.jobs.values().filter(|j| j.pending() > 0 && wishes(&j.spec)) {
             if !fits_kind(&j.spec, t, &kind.zone, kind.spot) {
                 continue;
             }
-            let open = j.spec.tasks.saturating_sub(j.done.count());
-            let need = open.div_ceil(t.holds(&j.spec)) as usize;
+            // One that fails everywhere needs a machine for its next try all the same: it may
+            // have met faulty ones, and no other job would ask for its kind.
+            let need = j.wanted().div_ceil(t.holds(&j.spec)) as usize;
             let ok = |m: &&&Machine| {
                 Self::type_index(ctx.types, &m.machine_type)
                     .is_some_and(|i| fits_kind(&j.spec, &ctx.types[i], &m.zone, m.spot))
@@ -511,7 +508,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::settings::Policy;
+    use crate::settings::{Policy, Team};
 
     fn settings() -> Settings {
         Settings {
@@ -561,4 +558,43 @@
         }
         assert!(!reign.unheard("b"), "half of its machines have spoken");
     }
+
+    /// A job that met faulty machines twice is held back to one task. Nobody else wanted
+    /// machines of its kind, and it waited for ever.
+    #[test]
+    fn a_job_that_is_held_back_still_gets_a_machine_of_its_kind() {
+        let inf = f64::INFINITY;
+        let team = Team { name: "t".into(), cpus: 8.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
+        let cfg = Settings { teams: vec![team], ..settings() };
+        let spec: JobSpec = serde_json::from_str(
+            r#"{"class":"c","team":"t","priority":"n","tasks":9,"cpus":4,"memory_gb":1,
+                "spot":false,"image":"i","image_gb":1,"estimate_s":10}"#,
+        )
+        .unwrap();
+        let types = [MachineType {
+            name: "x".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.4,
+            boot_s: 8.0,
+            zones: vec!["a".into()],
+        }];
+        let mut table = Table::new(10);
+        table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
+        let ctx =
+            Ctx { cfg: &cfg, types: &types, table: &table, now: 500, wall: 0, entitled: true };
+        let mut reign = Reign::new(&ctx, Token(2), 1);
+        let kind = Kind { machine_type: "x".into(), zone: "a".into(), spot: false };
+        assert_eq!(reign.lacking(&ctx, &[], &kind), 5);
+        let job = reign.jobs.get_mut(&JobId(1)).unwrap();
+        for m in ["m-1", "m-2"] {
+            job.health.failed(&MachineId(m.into()), 500, cfg.lease_ms);
+        }
+        assert_eq!(reign.lacking(&ctx, &[], &kind), 1);
+        assert_eq!(reign.demand(&ctx)[0].machines, 0.5);
+    }
 }
