--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -24,6 +24,7 @@
 mod writing;
 
 /// What one pass of the core may look at.
+#[derive(Clone, Copy)]
 pub struct Ctx<'a> {
     pub cfg: &'a Settings,
     pub types: &'a [MachineType],
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -46,7 +46,9 @@
             }
             // One that fails everywhere needs a machine for its next try all the same: it may
             // have met faulty ones, and no other job would ask for its kind.
-            let need = j.wanted().div_ceil(t.holds(&j.spec)) as usize;
+            // More than its team's limit allows would come idle, go back and be rented anew.
+            let limit = ctx.cfg.teams[j.team].room((0.0, 0.0), &j.spec);
+            let need = j.wanted().min(limit).div_ceil(t.holds(&j.spec)) as usize;
             let ok = |m: &&&Machine| {
                 Self::type_index(ctx.types, &m.machine_type)
                     .is_some_and(|i| fits_kind(&j.spec, &ctx.types[i], &m.zone, m.spot))
@@ -590,6 +592,11 @@
         let mut reign = Reign::new(&ctx, Token(2), 1);
         let kind = Kind { machine_type: "x".into(), zone: "a".into(), spot: false };
         assert_eq!(reign.lacking(&ctx, &[], &kind), 5);
+        // Machines beyond the team's limit would come and go idle.
+        let narrow = Team { cpus_max: 16.0, ..cfg.teams[0].clone() };
+        let narrow = Settings { teams: vec![narrow], ..cfg.clone() };
+        let limited = Ctx { cfg: &narrow, ..ctx };
+        assert_eq!(reign.lacking(&limited, &[], &kind), 2);
         let job = reign.jobs.get_mut(&JobId(1)).unwrap();
         for m in ["m-1", "m-2"] {
             job.health.failed(&MachineId(m.into()), 500, cfg.lease_ms);
