Machines on their way count by how likely they still come

Cause (read from the code): one that never came stood for room for four boot times and two leases. boot.rs keeps the boot times of late by zone; a machine is late at 2.5 nominal boots, or 1.5 times the longest seen, and its room is rented elsewhere; it goes back at 4, later where machines are seen to come late. Where most are late or never came, two at a time are tried until machines come.

--- /dev/null
+++ b/crates/basaltrail-core/src/boot.rs
@@ -0,0 +1,193 @@
+//! How long new machines take to come, and which are not counted on any more.
+//!
+//! A machine on its way stands for room while work waits. One that is late by what has
+//! been seen of late may never come, so that room is rented elsewhere; where most are
+//! late, only a few are tried until machines come.
+
+use crate::model::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Nominal boot times after which a machine is late, where nothing else was seen.
+const LATE: f64 = 2.5;
+/// The same, over the longest seen of late.
+const LATE_SEEN: f64 = 1.5;
+/// Nominal boot times after which one is given back, where nothing else was seen.
+pub const NEVER: f64 = 4.0;
+/// Nominal boot times after which none is counted on, whatever was seen.
+const MOST: f64 = 6.0;
+/// Boot times kept by zone.
+const KEPT: usize = 16;
+/// Nominal boot times for which what was seen counts.
+const LASTING: f64 = 20.0;
+/// Machines on their way at once in a zone where most are late.
+const TRIAL: usize = 2;
+
+#[derive(Debug, Default)]
+struct Zone {
+    /// When machines came, and after how many nominal boot times.
+    came: VecDeque<(Ms, f64)>,
+    /// When machines were given back that never came.
+    missed: VecDeque<Ms>,
+    /// Machines on their way: in time, and late.
+    coming: usize,
+    late: usize,
+}
+
+/// What is known of a type's boots in each zone.
+#[derive(Debug, Default)]
+pub struct Boots {
+    zones: BTreeMap<(String, String), Zone>,
+}
+
+impl Boots {
+    fn zone(&mut self, t: &MachineType, zone: &str) -> &mut Zone {
+        self.zones.entry((t.name.clone(), zone.to_string())).or_default()
+    }
+
+    /// A machine has come, so long after it was asked for.
+    pub fn came(&mut self, t: &MachineType, zone: &str, now: Ms, took: Ms) {
+        let z = self.zone(t, zone);
+        if z.came.len() >= KEPT {
+            z.came.pop_front();
+        }
+        z.came.push_back((now, took as f64 / nominal_ms(t)));
+    }
+
+    /// A machine is given back that never came. Were that forgotten, a zone in trouble
+    /// would be trusted as soon as the last one has gone back.
+    pub fn missed(&mut self, t: &MachineType, zone: &str, now: Ms) {
+        let z = self.zone(t, zone);
+        if z.missed.len() >= KEPT {
+            z.missed.pop_front();
+        }
+        z.missed.push_back(now);
+    }
+
+    /// The longest boot of late, in nominal ones.
+    fn longest(&self, t: &MachineType, zone: &str, now: Ms) -> f64 {
+        self.zones
+            .get(&(t.name.clone(), zone.to_string()))
+            .into_iter()
+            .flat_map(|z| &z.came)
+            .filter(|(at, _)| now.saturating_sub(*at) as f64 <= LASTING * nominal_ms(t))
+            .fold(0.0, |most: f64, (_, took)| most.max(*took))
+    }
+
+    /// The age from which a machine on its way is not counted on.
+    pub fn late_after(&self, t: &MachineType, zone: &str, now: Ms) -> Ms {
+        let longest = self.longest(t, zone, now);
+        ((LATE_SEEN * longest).clamp(LATE, MOST) * nominal_ms(t)) as Ms
+    }
+
+    /// The age at which it is given back. Where machines are seen to come late, later:
+    /// else each would go just before it came, and another be paid for in its place.
+    pub fn never_after(&self, t: &MachineType, zone: &str, now: Ms) -> Ms {
+        let longest = self.longest(t, zone, now);
+        ((LATE_SEEN * longest + 1.0).clamp(NEVER, MOST + 1.0) * nominal_ms(t)) as Ms
+    }
+
+    /// Counts the machines on their way anew, by type, zone and whether they are late.
+    pub fn count<'a>(&mut self, on_way: impl Iterator<Item = (&'a MachineType, &'a str, bool)>) {
+        for z in self.zones.values_mut() {
+            (z.coming, z.late) = (0, 0);
+        }
+        for (t, zone, late) in on_way {
+            let z = self.zone(t, zone);
+            z.coming += !late as usize;
+            z.late += late as usize;
+        }
+    }
+
+    /// How many more machines may be asked for in a zone beside those asked for already.
+    pub fn room(&self, t: &MachineType, zone: &str, asked: usize, now: Ms) -> usize {
+        let Some(z) = self.zones.get(&(t.name.clone(), zone.to_string())) else {
+            return usize::MAX;
+        };
+        // What came since the late ones were asked for shows that machines come.
+        let since = NEVER * nominal_ms(t);
+        let recent = |at: &Ms| now.saturating_sub(*at) as f64 <= since;
+        let came = z.came.iter().filter(|(at, _)| recent(at)).count();
+        let missed = z.late + z.missed.iter().filter(|at| recent(at)).count();
+        match missed >= TRIAL && missed > came {
+            true => TRIAL.saturating_sub(z.coming + asked),
+            false => usize::MAX,
+        }
+    }
+}
+
+/// Boot times of 0 are taken for a second.
+fn nominal_ms(t: &MachineType) -> f64 {
+    t.boot_s.max(1.0) * 1000.0
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn a_type(boot_s: f64) -> MachineType {
+        MachineType {
+            name: "x".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.4,
+            boot_s,
+            zones: vec!["a".into(), "b".into()],
+        }
+    }
+
+    /// Where machines are seen to come late they are waited for longer, but not for ever.
+    #[test]
+    fn late_is_what_has_not_been_seen() {
+        let t = a_type(20.0);
+        let mut b = Boots::default();
+        assert_eq!(b.late_after(&t, "a", 0), 50_000);
+        b.came(&t, "a", 1_000, 1_000);
+        assert_eq!(b.late_after(&t, "a", 2_000), 50_000, "quick ones promise nothing");
+        b.came(&t, "a", 1_000, 45_000);
+        assert_eq!(b.late_after(&t, "a", 2_000), 67_500);
+        assert_eq!(b.late_after(&t, "b", 2_000), 50_000);
+        b.came(&t, "a", 1_000, 900_000);
+        assert_eq!(b.late_after(&t, "a", 2_000), 120_000);
+        assert_eq!(b.never_after(&t, "a", 2_000), 140_000);
+        assert_eq!(b.never_after(&t, "b", 2_000), 80_000);
+        assert_eq!(b.late_after(&t, "a", 500_000), 50_000, "long ago");
+        assert!(b.late_after(&a_type(0.0), "a", 0) > 0);
+    }
+
+    /// A zone where machines do not come is tried with a few, and trusted once they come.
+    #[test]
+    fn a_zone_in_trouble_is_tried_with_few() {
+        let t = a_type(20.0);
+        let mut b = Boots::default();
+        let late = |n: usize, coming: usize, t| {
+            let late = (0..n).map(move |_| (t, "a", true));
+            late.chain((0..coming).map(move |_| (t, "a", false)))
+        };
+        b.count(late(1, 50, &t));
+        assert_eq!(b.room(&t, "a", 0, 60_000), usize::MAX, "one may happen");
+        b.count(late(30, 0, &t));
+        assert_eq!(b.room(&t, "a", 0, 60_000), 2);
+        assert_eq!(b.room(&t, "a", 1, 60_000), 1);
+        assert_eq!(b.room(&t, "b", 0, 60_000), usize::MAX);
+        b.count(late(30, 2, &t));
+        assert_eq!(b.room(&t, "a", 0, 60_000), 0);
+        for _ in 0..30 {
+            b.missed(&t, "a", 80_000);
+        }
+        b.count(late(0, 0, &t));
+        assert_eq!(b.room(&t, "a", 0, 81_000), 2, "given back is not forgotten");
+        for i in 0..8 {
+            b.came(&t, "a", 82_000 + i, 70_000);
+        }
+        assert_eq!(b.room(&t, "a", 0, 83_000), 2);
+        assert_eq!(b.room(&t, "a", 0, 161_000), usize::MAX);
+        for i in 0..1000 {
+            b.came(&t, "a", 62_000 + i, 1_000);
+        }
+        assert!(b.zones[&("x".to_string(), "a".to_string())].came.len() <= KEPT);
+    }
+}
--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -131,6 +131,12 @@
     pub release_in_flight: bool,
     pub idle_since: Option<Ms>,
     pub known_since: Ms,
+    /// It has not come, and is not counted on any more.
+    pub late: bool,
+    /// It is late by so much that it goes back.
+    pub given_up: bool,
+    /// It was rented in this reign, or listed as on its way, so long ago.
+    pub asked_at: Option<Ms>,
     pub listed: Option<(ListedState, Ms)>,
     /// When it was first seen in the cloud's list.
     pub first_listed: Option<Ms>,
@@ -170,6 +176,9 @@
             release_in_flight: false,
             idle_since: None,
             known_since: now,
+            late: false,
+            given_up: false,
+            asked_at: None,
             listed: None,
             first_listed: None,
             images: Vec::new(),
--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -1,5 +1,6 @@
 //! basaltrail's decisions, without I/O: inputs go in, effects come out.
 
+pub mod boot;
 pub mod budget;
 pub mod calls;
 pub mod election;
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -1,6 +1,7 @@
 //! Machines rented and given back.
 
 use super::*;
+use crate::boot::NEVER;
 
 impl Reign {
     /// What the work at hand asks of each type: machines that it could use now, and
@@ -135,10 +136,11 @@
                 wants.push(Want { name, spot, ratio, ready, target, most });
             }
         }
+        self.note_late(ctx);
         let live: Vec<&Machine> = self
             .machines
             .values()
-            .filter(|m| m.returning == Returning::No && !m.notice(ctx.now))
+            .filter(|m| m.returning == Returning::No && !m.late && !m.notice(ctx.now))
             .filter(|m| !m.faulty(ctx.now, ctx.cfg.lease_ms))
             .collect();
         let mut have: BTreeMap<String, usize> = BTreeMap::new();
@@ -167,7 +169,14 @@
             let reached = |zone: &str| !self.cut_until.contains_key(zone) && !self.unheard(zone);
             let mut open =
                 kinds.into_iter().filter(|k| self.rental.open(k, ctx.now) && reached(&k.zone));
-            let Some((n, kind)) = open.find_map(|k| Some((short(&k), k)).filter(|(n, _)| *n > 0))
+            let boots = |k: &Kind| {
+                let asked =
+                    self.rental.asked(|o| (&o.machine_type, &o.zone) == (&k.machine_type, &k.zone));
+                let t = ctx.types.iter().find(|t| t.name == k.machine_type);
+                t.map_or(0, |t| self.rental.boots.room(t, &k.zone, asked, ctx.now))
+            };
+            let Some((n, kind)) =
+                open.find_map(|k| Some((short(&k).min(boots(&k)), k)).filter(|(n, _)| *n > 0))
             else {
                 break;
             };
@@ -231,6 +240,23 @@
         }
     }
 
+    /// Marks the machines on their way that are not counted on any more.
+    fn note_late(&mut self, ctx: &Ctx) {
+        let boots = &self.rental.boots;
+        let mut on_way = Vec::new();
+        for m in self.machines.values_mut() {
+            let asked_at = m.asked_at.filter(|_| m.last_checkin.is_none() && m.empty());
+            let t = ctx.types.iter().find(|t| t.name == m.machine_type);
+            m.late = false;
+            if let (Some(at), Some(t), Returning::No) = (asked_at, t, m.returning) {
+                m.late = ctx.now > at + boots.late_after(t, &m.zone, ctx.now);
+                m.given_up = ctx.now > at + boots.never_after(t, &m.zone, ctx.now);
+                on_way.push((t, m.zone.clone(), m.late));
+            }
+        }
+        self.rental.boots.count(on_way.iter().map(|(t, z, late)| (*t, z.as_str(), *late)));
+    }
+
     /// Gives back what is drained, failed or lost.
     pub(super) fn returns(&mut self, ctx: &Ctx, calls: &mut Calls) {
         let ready = ctx.entitled && !ctx.types.is_empty();
@@ -285,11 +311,13 @@
                 "gone"
             } else if m.last_checkin.is_some() && !cut && silence > ctx.cfg.lease_ms * 3 {
                 "silent"
+            } else if m.late && m.given_up {
+                "never up"
             } else if m.last_checkin.is_none()
                 && !cut
-                && age as f64 > boot_ms * 4.0 + 2.0 * ctx.cfg.lease_ms as f64
+                && age as f64 > boot_ms * NEVER + 2.0 * ctx.cfg.lease_ms as f64
             {
-                "never up"
+                "unheard for long"
             } else if silence > ctx.cfg.lease_ms * 12 {
                 "silent for long"
             } else {
@@ -306,6 +334,10 @@
         for (id, why) in &go {
             if let Some(m) = self.machines.get_mut(id) {
                 m.returning = Returning::Releasing;
+                let t = ctx.types.iter().find(|t| t.name == m.machine_type);
+                if let Some(t) = t.filter(|_| m.given_up && m.last_checkin.is_none()) {
+                    self.rental.boots.missed(t, &m.zone, ctx.now);
+                }
             }
             calls.log(Level::Info, "machine_return", format!("machine={id} why={why:?}"));
         }
@@ -405,6 +437,7 @@
                     let k = &r.kind;
                     let mut m = Machine::new(id.clone(), &k.machine_type, &k.zone, k.spot, ctx.now);
                     m.ours = true;
+                    m.asked_at = Some(ctx.now);
                     self.machines.insert(id.clone(), m);
                     self.enroll(ctx, &id);
                 }
@@ -467,7 +500,10 @@
             if self.returned.contains(&l.machine) {
                 continue;
             }
+            let asked_at = ctx.now.saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as Ms);
+            let asked_at = (l.state == ListedState::Booting).then_some(asked_at);
             if let Some(m) = self.machines.get_mut(&l.machine) {
+                m.asked_at = m.asked_at.or(asked_at);
                 m.listed = Some((l.state, ctx.now));
                 m.first_listed.get_or_insert(ctx.now);
                 if m.endpoint.is_empty() {
@@ -481,6 +517,7 @@
             m.listed = Some((l.state, ctx.now));
             m.first_listed = Some(ctx.now);
             m.known_since = ctx.now.saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as Ms);
+            m.asked_at = asked_at;
             calls.log(Level::Info, "machine_found", format!("machine={}", l.machine));
             self.machines.insert(l.machine.clone(), m);
             self.enroll(ctx, &l.machine);
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -180,6 +180,10 @@
             let age = ctx.now - m.known_since;
             let detail = format!("machine={} zone={} spot={} age_ms={age}", m.id, m.zone, m.spot);
             calls.log(Level::Info, "machine_up", detail);
+            let t = ctx.types.iter().find(|t| t.name == m.machine_type);
+            if let (Some(at), Some(t)) = (m.asked_at, t) {
+                self.rental.boots.came(t, &m.zone, ctx.now, ctx.now - at);
+            }
         }
         if m.notice(ctx.now) && m.returning == Returning::No {
             m.returning = Returning::Draining;
--- a/crates/basaltrail-core/src/rental.rs
+++ b/crates/basaltrail-core/src/rental.rs
@@ -1,5 +1,6 @@
 //! How many machines to rent, of which kind, and which to give back.
 
+use crate::boot::Boots;
 use crate::model::*;
 
 /// A kind of machine that can be asked for.
@@ -23,6 +24,7 @@
 
 #[derive(Default)]
 pub struct Rental {
+    pub boots: Boots,
     pub pending: Vec<Request>,
     /// Kinds that had no capacity, and until when they are left alone.
     pub refused: Vec<(Kind, Ms)>,
