Late is judged by what all but a few boots took

One machine in twenty takes several times as long; by the longest boot seen, all were waited for so long.

--- a/crates/basaltrail-core/src/boot.rs
+++ b/crates/basaltrail-core/src/boot.rs
@@ -9,12 +9,14 @@
 
 /// Nominal boot times after which a machine is late, where nothing else was seen.
 const LATE: f64 = 2.5;
-/// The same, over the longest seen of late.
+/// The same, over what all but a few took of late.
 const LATE_SEEN: f64 = 1.5;
 /// Nominal boot times after which one is given back, where nothing else was seen.
 pub const NEVER: f64 = 4.0;
 /// Nominal boot times after which none is counted on, whatever was seen.
 const MOST: f64 = 6.0;
+/// One in so many boots is few.
+const FEW: usize = 8;
 /// Boot times kept by zone.
 const KEPT: usize = 16;
 /// Nominal boot times for which what was seen counts.
@@ -63,27 +65,29 @@
         z.missed.push_back(now);
     }
 
-    /// The longest boot of late, in nominal ones.
-    fn longest(&self, t: &MachineType, zone: &str, now: Ms) -> f64 {
-        self.zones
-            .get(&(t.name.clone(), zone.to_string()))
-            .into_iter()
-            .flat_map(|z| &z.came)
-            .filter(|(at, _)| now.saturating_sub(*at) as f64 <= LASTING * nominal_ms(t))
-            .fold(0.0, |most: f64, (_, took)| most.max(*took))
+    /// How long all but a few boots of late took, in nominal ones. A single machine that
+    /// takes several times as long is no reason to wait so long for all.
+    fn usual(&self, t: &MachineType, zone: &str, now: Ms) -> f64 {
+        let Some(z) = self.zones.get(&(t.name.clone(), zone.to_string())) else { return 0.0 };
+        let recent = |at: Ms| now.saturating_sub(at) as f64 <= LASTING * nominal_ms(t);
+        let mut took: Vec<f64> =
+            z.came.iter().filter(|(at, _)| recent(*at)).map(|(_, took)| *took).collect();
+        took.sort_by(f64::total_cmp);
+        let few = took.len() / FEW;
+        took.iter().rev().nth(few).copied().unwrap_or(0.0)
     }
 
     /// The age from which a machine on its way is not counted on.
     pub fn late_after(&self, t: &MachineType, zone: &str, now: Ms) -> Ms {
-        let longest = self.longest(t, zone, now);
-        ((LATE_SEEN * longest).clamp(LATE, MOST) * nominal_ms(t)) as Ms
+        let usual = self.usual(t, zone, now);
+        ((LATE_SEEN * usual).clamp(LATE, MOST) * nominal_ms(t)) as Ms
     }
 
     /// The age at which it is given back. Where machines are seen to come late, later:
     /// else each would go just before it came, and another be paid for in its place.
     pub fn never_after(&self, t: &MachineType, zone: &str, now: Ms) -> Ms {
-        let longest = self.longest(t, zone, now);
-        ((LATE_SEEN * longest + 1.0).clamp(NEVER, MOST + 1.0) * nominal_ms(t)) as Ms
+        let usual = self.usual(t, zone, now);
+        ((LATE_SEEN * usual + 1.0).clamp(NEVER, MOST + 1.0) * nominal_ms(t)) as Ms
     }
 
     /// Counts the machines on their way anew, by type, zone and whether they are late.
@@ -150,7 +154,13 @@
         b.came(&t, "a", 1_000, 45_000);
         assert_eq!(b.late_after(&t, "a", 2_000), 67_500);
         assert_eq!(b.late_after(&t, "b", 2_000), 50_000);
-        b.came(&t, "a", 1_000, 900_000);
+        for _ in 0..14 {
+            b.came(&t, "a", 1_000, 12_000);
+        }
+        assert_eq!(b.late_after(&t, "a", 2_000), 50_000, "one straggler");
+        for _ in 0..3 {
+            b.came(&t, "a", 1_000, 900_000);
+        }
         assert_eq!(b.late_after(&t, "a", 2_000), 120_000);
         assert_eq!(b.never_after(&t, "a", 2_000), 140_000);
         assert_eq!(b.never_after(&t, "b", 2_000), 80_000);
