A node that alone lost the state service is not ready after a leader's lease; shorter holds

Cause (read from the code): such a node looked ready for a worker's lease and answered its users 503 meanwhile; a leader that gave up for want of workers stayed away for two leases, also when nobody else was able to lead. Now a node that still hears a leader's frames while the state service does not answer it is not ready after 0.35 of a lease, in an outage of all after a whole one as before; a leader that resigned stays away for two leader's leases. Excluded: leadership going round (a successor that no worker reaches never resigns).

--- a/crates/basaltrail-core/src/boot.rs
+++ b/crates/basaltrail-core/src/boot.rs
@@ -127,26 +127,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-
-    fn a_type(boot_s: f64) -> MachineType {
-        MachineType {
-            name: "x".into(),
-            cpus: 8.0,
-            gpus: 0.0,
-            memory_gb: 64.0,
-            cache_gb: 50.0,
-            fetch_gb_per_s: 1.0,
-            price: 1.0,
-            spot_price: 0.4,
-            boot_s,
-            zones: vec!["a".into(), "b".into()],
-        }
-    }
+    use crate::settings::sample::a_type;
 
     /// Where machines are seen to come late they are waited for longer, but not for ever.
     #[test]
     fn late_is_what_has_not_been_seen() {
-        let t = a_type(20.0);
+        let t = a_type();
         let mut b = Boots::default();
         assert_eq!(b.late_after(&t, "a", 0), 50_000);
         b.came(&t, "a", 1_000, 1_000);
@@ -165,13 +151,13 @@
         assert_eq!(b.never_after(&t, "a", 2_000), 140_000);
         assert_eq!(b.never_after(&t, "b", 2_000), 80_000);
         assert_eq!(b.late_after(&t, "a", 500_000), 50_000, "long ago");
-        assert!(b.late_after(&a_type(0.0), "a", 0) > 0);
+        assert!(b.late_after(&MachineType { boot_s: 0.0, ..a_type() }, "a", 0) > 0);
     }
 
     /// A zone where machines do not come is tried with a few, and trusted once they come.
     #[test]
     fn a_zone_in_trouble_is_tried_with_few() {
-        let t = a_type(20.0);
+        let t = a_type();
         let mut b = Boots::default();
         let late = |n: usize, coming: usize, t| {
             let late = (0..n).map(move |_| (t, "a", true));
--- a/crates/basaltrail-core/src/node.rs
+++ b/crates/basaltrail-core/src/node.rs
@@ -46,6 +46,8 @@
     jobs_list_revision: Option<u64>,
     reign: Option<Reign>,
     state_ok: Ms,
+    /// When a peer last told of progress, as only a leader does.
+    leader_heard: Ms,
     leads: Option<bool>,
 }
 
@@ -73,6 +75,7 @@
             jobs_list_revision: None,
             reign: None,
             state_ok: 0,
+            leader_heard: 0,
             leads: None,
             cfg,
         }
@@ -80,7 +83,15 @@
 
     /// Whether this node can take requests.
     pub fn ready(&self) -> bool {
-        self.jobs_loaded && !self.types.is_empty() && self.now <= self.state_ok + self.cfg.lease_ms
+        // In an outage nobody does better: the users stay where they are. A node that still
+        // hears a leader, which is one only by the state service, has lost it alone, and
+        // the others serve its users.
+        let leader_heard = self.now <= self.leader_heard + self.cfg.report_ms * 2;
+        let patience = match leader_heard && !self.leading() {
+            true => self.cfg.leader_lease_ms(),
+            false => self.cfg.lease_ms,
+        };
+        self.jobs_loaded && !self.types.is_empty() && self.now <= self.state_ok + patience
     }
 
     pub fn leading(&self) -> bool {
@@ -104,6 +115,7 @@
             Input::State { op, reply } => self.state_reply(op, reply),
             Input::Cloud { op, reply } => self.cloud_reply(op, reply),
             Input::Peer { progress } => {
+                self.leader_heard = self.now;
                 if self.reign.is_none() {
                     let known = |p: &&Progress| self.table.active.contains_key(&p.job);
                     self.door.display = progress
@@ -164,9 +176,10 @@
         }
         self.with_reign(|reign, ctx, calls, rng| reign.tick(ctx, calls, rng));
         if self.with_reign(|reign, ctx, _, _| ctx.entitled && reign.lost_workers) == Some(true) {
-            // Another node may still reach them, and their leases run.
+            // Another node may still reach them, and their leases run. One that is able takes
+            // over within a leader's lease; where none is, nobody leads for no longer.
             self.calls.log(Level::Info, "resigned", "why=\"workers silent\"".into());
-            self.election.resign(self.now, self.cfg.lease_ms * 2);
+            self.election.resign(self.now, self.cfg.leader_lease_ms() * 2);
         }
         self.read_unknown();
         self.tell_progress();
@@ -795,3 +808,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::sample::{a_type, settings};
+
+    /// A node that alone lost the state service would answer its users 503 for as long as
+    /// it looked ready. In an outage of all there is no better node to send them to.
+    #[test]
+    fn a_node_that_is_alone_without_the_state_service_is_not_ready() {
+        let mut n = Node::new(Arc::new(settings()), 1);
+        n.jobs_loaded = true;
+        n.types = vec![a_type()];
+        n.state_ok = 10_000;
+        let mut ready_at = |now, leader_heard| {
+            (n.now, n.leader_heard) = (now, leader_heard);
+            n.ready()
+        };
+        assert!(ready_at(13_000, 12_900));
+        assert!(!ready_at(14_000, 13_900), "a leader is heard");
+        assert!(ready_at(14_000, 11_000), "nobody leads");
+        assert!(ready_at(20_000, 11_000));
+        assert!(!ready_at(20_001, 11_000));
+    }
+}
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -151,6 +151,51 @@
     }
 }
 
+#[cfg(test)]
+pub(crate) mod sample {
+    use super::*;
+    use crate::model::MachineType;
+
+    pub(crate) fn settings() -> Settings {
+        Settings {
+            node: "n0".into(),
+            zone: "a".into(),
+            nodes: 3,
+            zones: vec!["a".into(), "b".into()],
+            peer_zones: vec!["a".into(), "b".into()],
+            teams: Vec::new(),
+            objectives: Vec::new(),
+            report_ms: 1_000,
+            lease_ms: 10_000,
+            cancel_ms: 30_000,
+            state_rps: 100.0,
+            write_rps: 100.0,
+            value_bytes: 4_096,
+            txn_ops: 12,
+            cloud_rps: 5.0,
+            list_lag_ms: 3_000,
+            memory_mb: 56.0,
+            incarnation: 1,
+            policy: Policy::default(),
+        }
+    }
+
+    pub(crate) fn a_type() -> MachineType {
+        MachineType {
+            name: "x".into(),
+            cpus: 8.0,
+            gpus: 0.0,
+            memory_gb: 64.0,
+            cache_gb: 50.0,
+            fetch_gb_per_s: 1.0,
+            price: 1.0,
+            spot_price: 0.4,
+            boot_s: 20.0,
+            zones: vec!["a".into(), "b".into()],
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
