--- /dev/null
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -0,0 +1,359 @@
+//! One controller: the state machine that ties the parts together.
+
+use crate::budget::Class;
+use crate::calls::{Calls, Purpose};
+use crate::election::Election;
+use crate::frontdoor::{impossible, Ask, FrontDoor, Kind, NewJob};
+use crate::io::*;
+use crate::jobs::Table;
+use crate::model::*;
+use crate::records::*;
+use crate::reign::{Ctx, Reign};
+use crate::settings::Settings;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::sync::Arc;
+
+mod replies;
+mod users;
+
+/// Of the limits, what we use: the rest is for calls that were counted late.
+const RATE_USED: f64 = 0.9;
+/// Part of the rate that the leader has; the others share the rest.
+const LEADER_PART: f64 = 0.5;
+/// Requests that may wait at once, per megabyte.
+const WAITING_PER_MB: f64 = 40.0;
+/// Active jobs and remembered ends, per megabyte.
+const ACTIVE_PER_MB: f64 = 100.0;
+const ENDS_PER_MB: f64 = 1000.0;
+
+pub struct Node {
+    cfg: Arc<Settings>,
+    now: Ms,
+    wall: WallMs,
+    rng: SmallRng,
+    calls: Calls,
+    election: Election,
+    table: Table,
+    door: FrontDoor,
+    types: Vec<MachineType>,
+    types_kept: bool,
+    types_in_flight: bool,
+    types_not_before: Ms,
+    types_stamp: u64,
+    types_dirty: bool,
+    jobs_loaded: bool,
+    jobs_revision: Option<u64>,
+    jobs_in_flight: bool,
+    jobs_not_before: Ms,
+    jobs_list_revision: Option<u64>,
+    reign: Option<Reign>,
+    state_ok: Ms,
+    /// When a peer last told of progress, as only a leader does.
+    leader_heard: Ms,
+    leads: Option<bool>,
+}
+
+impl Node {
+    pub fn new(cfg: Arc<Settings>, seed: u64) -> Self {
+        let ttl = cfg.leader_lease_ms();
+        Node {
+            now: 0,
+            wall: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            calls: Calls::default(),
+            election: Election::new(&cfg.node, cfg.incarnation, ttl, cfg.at_most(ttl)),
+            table: Table::new((cfg.memory_mb * ENDS_PER_MB).max(1000.0) as usize),
+            door: FrontDoor::default(),
+            types: Vec::new(),
+            types_kept: false,
+            types_in_flight: false,
+            types_not_before: 0,
+            types_stamp: 0,
+            types_dirty: false,
+            jobs_loaded: false,
+            jobs_revision: None,
+            jobs_in_flight: false,
+            jobs_not_before: 0,
+            jobs_list_revision: None,
+            reign: None,
+            state_ok: 0,
+            leader_heard: 0,
+            leads: None,
+            cfg,
+        }
+    }
+
+    /// Whether this node can take requests.
+    pub fn ready(&self) -> bool {
+        // In an outage nobody does better: the users stay where they are. A node that still
+        // hears a leader, which is one only by the state service, has lost it alone, and
+        // the others serve its users.
+        let leader_heard = self.now <= self.leader_heard + self.cfg.report_ms * 2;
+        let patience = match leader_heard && !self.leading() {
+            true => self.cfg.leader_lease_ms(),
+            false => self.cfg.lease_ms,
+        };
+        self.jobs_loaded && !self.types.is_empty() && self.now <= self.state_ok + patience
+    }
+
+    pub fn leading(&self) -> bool {
+        self.reign.as_ref().is_some_and(Reign::loaded) && self.election.entitled(self.now)
+    }
+
+    /// Machines and tasks that the present reign has looked at in its passes.
+    pub fn visited(&self) -> u64 {
+        self.reign.as_ref().map_or(0, |r| r.visited)
+    }
+
+    pub fn step(&mut self, now: Ms, wall: WallMs, input: Input) -> Vec<Effect> {
+        self.now = self.now.max(now);
+        self.wall = wall;
+        match input {
+            Input::Tick => {}
+            Input::Submit { req, job, spec } => self.submit(req, job, spec),
+            Input::Poll { req, job } => self.ask(req, job, Kind::Poll),
+            Input::Cancel { req, job } => self.ask(req, job, Kind::Cancel),
+            Input::Checkin { req, report } => self.checkin(req, &report),
+            Input::State { op, reply } => self.state_reply(op, reply),
+            Input::Cloud { op, reply } => self.cloud_reply(op, reply),
+            Input::Peer { progress } => {
+                self.leader_heard = self.now;
+                if self.reign.is_none() {
+                    let known = |p: &&Progress| self.table.active.contains_key(&p.job);
+                    self.door.display = progress
+                        .iter()
+                        .filter(known)
+                        .map(|p| (p.job, (p.done, p.running)))
+                        .collect();
+                }
+            }
+        }
+        self.pump();
+        std::mem::take(&mut self.calls.out)
+    }
+
+    fn with_reign<T>(
+        &mut self,
+        f: impl FnOnce(&mut Reign, &Ctx, &mut Calls, &mut SmallRng) -> T,
+    ) -> Option<T> {
+        let reign = self.reign.as_mut()?;
+        let ctx = Ctx {
+            cfg: &self.cfg,
+            types: &self.types,
+            table: &self.table,
+            now: self.now,
+            wall: self.wall,
+            entitled: self.election.entitled(self.now),
+        };
+        Some(f(reign, &ctx, &mut self.calls, &mut self.rng))
+    }
+
+    // ---- what is due ----
+
+    fn pump(&mut self) {
+        self.shares();
+        // The jitter keeps the nodes that saw a leader go from all asking at once.
+        let mut jitter = self.rng.random_range(0..self.cfg.leader_lease_ms() / 25 + 1);
+        // A cut between zones costs a leader the machines of the others: let those
+        // where most machines are go first.
+        if self.election.home().unwrap_or(self.cfg.busiest_zone()) != self.cfg.zone {
+            jitter += self.cfg.leader_lease_ms() / 8;
+        }
+        for (call, op, timeout) in self.election.calls(self.now, jitter) {
+            // Leases come first; they are few.
+            self.calls.pay(self.now, Class::Lease);
+            self.calls.state(Purpose::Election(call), op, timeout);
+        }
+        self.follow_role();
+        self.jobs_view();
+        self.types_view();
+        self.flush_door();
+        let changed = std::mem::take(&mut self.table.changed);
+        if !changed.is_empty() {
+            self.with_reign(|reign, ctx, _, _| {
+                for job in &changed {
+                    reign.sync_job(ctx, *job);
+                }
+            });
+        }
+        self.with_reign(|reign, ctx, calls, rng| reign.tick(ctx, calls, rng));
+        if self.with_reign(|reign, ctx, _, _| ctx.entitled && reign.lost_workers) == Some(true) {
+            // Another node may still reach them, and their leases run. One that is able takes
+            // over within a leader's lease; where none is, nobody leads for no longer.
+            self.calls.log(Level::Info, "resigned", "why=\"workers silent\"".into());
+            self.election.resign(self.now, self.cfg.leader_lease_ms() * 2);
+        }
+        self.read_unknown();
+        self.tell_progress();
+    }
+
+    fn shares(&mut self) {
+        let leads = self.reign.is_some();
+        if self.leads == Some(leads) {
+            return;
+        }
+        self.leads = Some(leads);
+        let others = (self.cfg.nodes.max(2) - 1) as f64;
+        let part = match (self.cfg.nodes, leads) {
+            (0 | 1, _) => 1.0,
+            (_, true) => LEADER_PART,
+            (_, false) => (1.0 - LEADER_PART) / others,
+        } * RATE_USED;
+        self.calls.state.set_rate(self.cfg.state_rps * part);
+        self.calls.writes.set_rate(self.cfg.write_rps * part);
+        self.calls.cloud.set_rate(self.cfg.cloud_rps * if leads { 0.8 } else { 0.2 / others });
+    }
+
+    fn follow_role(&mut self) {
+        let lead = self.election.lead();
+        let same = match (&self.reign, lead) {
+            (Some(r), Some(l)) => r.token == l.token,
+            (None, None) => true,
+            _ => false,
+        };
+        if same {
+            return;
+        }
+        if let Some(r) = self.reign.take() {
+            self.calls.log(Level::Info, "deposed", format!("token={}", r.token.0));
+        }
+        if let Some(l) = lead {
+            self.calls.log(Level::Info, "elected", format!("token={}", l.token.0));
+            let ctx = Ctx {
+                cfg: &self.cfg,
+                types: &self.types,
+                table: &self.table,
+                now: self.now,
+                wall: self.wall,
+                entitled: true,
+            };
+            self.reign = Some(Reign::new(&ctx, l.token, l.stamp));
+        }
+    }
+
+    fn jobs_view(&mut self) {
+        if self.jobs_in_flight || self.now < self.jobs_not_before {
+            return;
+        }
+        if !self.calls.pay(self.now, Class::Door) {
+            return;
+        }
+        self.jobs_in_flight = true;
+        let patience = self.cfg.leader_lease_ms() / 2;
+        match self.jobs_revision {
+            None => self.list_jobs(None),
+            Some(after) => {
+                // Short enough that a watch that went dead costs little of `cancel_s`.
+                let wait_ms = self.cfg.cancel_ms / 6;
+                let op = StateOp::Watch { prefix: JOBS.into(), after, wait_ms };
+                self.calls.state(Purpose::JobsWatch, op, wait_ms + patience);
+            }
+        }
+    }
+
+    fn list_jobs(&mut self, after: Option<String>) {
+        let patience = self.cfg.leader_lease_ms() / 2;
+        let op = StateOp::List { prefix: ACTIVE.into(), after: after.clone(), limit: 500 };
+        self.calls.state(Purpose::JobsList { after }, op, patience);
+    }
+
+    fn types_view(&mut self) {
+        if self.types_in_flight || self.now < self.types_not_before {
+            return;
+        }
+        let timeout = self.cfg.lease_ms / 3;
+        if !self.types_kept {
+            if self.calls.pay(self.now, Class::Door) {
+                self.types_in_flight = true;
+                let op = StateOp::Get(TYPES.into());
+                self.calls.state(Purpose::TypesKept, op, timeout);
+            }
+        } else if self.types_dirty {
+            if self.calls.pay(self.now, Class::Door)
+                && self.calls.writes.take(self.now, 1.0, Class::Door)
+            {
+                self.types_in_flight = true;
+                let op = StateOp::Txn {
+                    conds: vec![(TYPES.into(), self.types_stamp)],
+                    puts: vec![Put { key: TYPES.into(), value: encode(&self.types), loan: None }],
+                    removes: Vec::new(),
+                };
+                self.calls.state(Purpose::TypesPut, op, timeout);
+            }
+        } else if (self.types.is_empty() || self.reign.is_some())
+            && self.calls.cloud.take(self.now, 1.0, Class::Lease)
+        {
+            self.types_in_flight = true;
+            self.calls.cloud(Purpose::Types, CloudOp::Types, timeout);
+        }
+    }
+
+    fn read_unknown(&mut self) {
+        let Some(r) = self.reign.as_mut() else { return };
+        if r.unknown.is_empty() || self.door.reads.len() > 16 {
+            return;
+        }
+        // Each is asked for once a second at the most, by taking it off the list here;
+        // workers' next reports put it back while it stays unknown.
+        while let Some(job) = r.unknown.pop_first() {
+            self.door.reads.push((job, Vec::new()));
+            if self.door.reads.len() > 16 {
+                break;
+            }
+        }
+    }
+
+    fn tell_progress(&mut self) {
+        let (now, every) = (self.now, self.cfg.report_ms);
+        if !self.election.entitled(now) {
+            return;
+        }
+        if let Some(r) = self.reign.as_mut().filter(|r| r.loaded() && now >= r.next_progress) {
+            r.next_progress = now + every;
+            let progress = r.progress();
+            self.door.display = progress.iter().map(|p| (p.job, (p.done, p.running))).collect();
+            self.calls.out.push(Effect::Peers { progress });
+        }
+    }
+
+    // ---- workers ----
+
+    fn checkin(&mut self, req: ReqId, report: &Report) {
+        let answer = if self.election.entitled(self.now) {
+            self.with_reign(|reign, ctx, calls, rng| reign.checkin(ctx, calls, report, rng))
+        } else {
+            None
+        };
+        let answer = answer.unwrap_or_else(|| {
+            let leader = self.election.leader_hint().filter(|l| *l != self.cfg.node);
+            Answer::Elsewhere { leader: leader.map(str::to_string) }
+        });
+        self.calls.answer(req, answer);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::sample::{a_type, settings};
+
+    /// A node that alone lost the state service would answer its users 503 for as long as
+    /// it looked ready. In an outage of all there is no better node to send them to.
+    #[test]
+    fn a_node_that_is_alone_without_the_state_service_is_not_ready() {
+        let mut n = Node::new(Arc::new(settings()), 1);
+        n.jobs_loaded = true;
+        n.types = vec![a_type()];
+        n.state_ok = 10_000;
+        let mut ready_at = |now, leader_heard| {
+            (n.now, n.leader_heard) = (now, leader_heard);
+            n.ready()
+        };
+        assert!(ready_at(13_000, 12_900));
+        assert!(!ready_at(14_000, 13_900), "a leader is heard");
+        assert!(ready_at(14_000, 11_000), "nobody leads");
+        assert!(ready_at(20_000, 11_000));
+        assert!(!ready_at(20_001, 11_000));
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -0,0 +1,312 @@
+//! Answers of the state service and the cloud.
+
+use super::*;
+
+impl Node {
+    pub(super) fn apply(&mut self, item: &Item) {
+        if let Some(job) = item.key.strip_prefix(ACTIVE).and_then(parse_job) {
+            match decode::<JobRecord>(&item.value) {
+                Some(record) => self.table.put_active(job, item.stamp, record),
+                None => self.calls.log(Level::Error, "job_unreadable", format!("job={job}")),
+            }
+        } else if let Some(job) = item.key.strip_prefix(FINAL).and_then(parse_job) {
+            if let Some(end) = decode(&item.value) {
+                self.table.put_final(job, end);
+            }
+        }
+    }
+
+    pub(super) fn state_reply(&mut self, op: OpId, reply: StateReply) {
+        let Some(purpose) = self.calls.take(op) else { return };
+        match reply {
+            StateReply::Unknown => {}
+            StateReply::Refused => {}
+            _ => self.state_ok = self.now,
+        }
+        match purpose {
+            Purpose::Election(call) => {
+                if let Some(loan) = self.election.answer(self.now, call, reply) {
+                    let call = crate::election::Call::Revoke { loan };
+                    self.calls.state(Purpose::Election(call), StateOp::Revoke { loan }, 1000);
+                }
+                if let Some((call, op, timeout)) = self.election.take() {
+                    self.calls.writes.take(self.now, 2.0, Class::Lease);
+                    self.calls.state(Purpose::Election(call), op, timeout);
+                }
+            }
+            Purpose::JobsList { after } => self.jobs_listed(after, reply),
+            Purpose::JobsWatch => {
+                self.jobs_in_flight = false;
+                match reply {
+                    StateReply::Events { revision, events } => {
+                        for e in &events {
+                            match e {
+                                Event::Put(item) => self.apply(item),
+                                Event::Remove { key, stamp } => {
+                                    if let Some(job) = key.strip_prefix(ACTIVE).and_then(parse_job)
+                                    {
+                                        self.table.remove_active(job, *stamp);
+                                    }
+                                }
+                            }
+                        }
+                        self.jobs_revision = self.jobs_revision.max(Some(revision));
+                        // Changes come in crowds; one watch for each would cost too much.
+                        self.jobs_not_before = self.now + self.cfg.report_ms / 10;
+                    }
+                    StateReply::Compacted => self.jobs_revision = None,
+                    _ => self.jobs_not_before = self.now + self.cfg.report_ms / 4,
+                }
+            }
+            Purpose::Submit(batch) => self.submitted(batch, reply),
+            Purpose::Check(jobs) => {
+                self.door.checks_in_flight -= 1;
+                match reply {
+                    StateReply::Committed { .. } => {
+                        for (job, asks) in jobs {
+                            self.confirmed(job, asks);
+                        }
+                    }
+                    StateReply::Conflict { failed } => {
+                        for (job, asks) in jobs {
+                            if failed.contains(&active_key(job)) || failed.contains(&final_key(job))
+                            {
+                                self.door.reads.push((job, asks));
+                            } else {
+                                self.door.check_again(job, asks);
+                            }
+                        }
+                        self.door.checks_since = self.now;
+                    }
+                    _ => {
+                        for (_, asks) in jobs {
+                            self.busy(asks, 1, "no check possible");
+                        }
+                    }
+                }
+            }
+            Purpose::ReadActive { job, asks } => match reply {
+                StateReply::Found(item) => {
+                    self.apply(&item);
+                    self.confirmed(job, asks);
+                }
+                // The end is read after the entry was found missing: a job only ever
+                // goes from one to the other, so missing both means it never was.
+                StateReply::Missing => {
+                    let patience = self.cfg.leader_lease_ms() / 5;
+                    let call = StateOp::Get(final_key(job));
+                    self.calls.pay(self.now, Class::Lease);
+                    self.calls.state(Purpose::ReadFinal { job, asks }, call, patience);
+                }
+                _ => self.unread(job, asks),
+            },
+            Purpose::ReadFinal { job, asks } => match reply {
+                StateReply::Found(item) => {
+                    self.apply(&item);
+                    self.confirmed(job, asks);
+                }
+                StateReply::Missing => self.confirmed(job, asks),
+                _ => self.unread(job, asks),
+            },
+            Purpose::Cancel { job, asks } => match reply {
+                StateReply::Committed { .. } => {
+                    self.table.put_final(job, Final::Cancelled);
+                    self.calls.log(Level::Info, "job_cancelled", format!("job={job}"));
+                    self.confirmed(job, asks);
+                }
+                StateReply::Conflict { .. } => self.door.reads.push((job, asks)),
+                _ => self.busy(asks, 1, "not decided"),
+            },
+            Purpose::TypesKept => {
+                self.types_in_flight = false;
+                match reply {
+                    StateReply::Found(item) => {
+                        self.types_kept = true;
+                        self.types_stamp = item.stamp;
+                        if let (true, Some(t)) = (self.types.is_empty(), decode(&item.value)) {
+                            self.types = t;
+                        }
+                    }
+                    StateReply::Missing => {
+                        self.types_kept = true;
+                        self.types_stamp = 0;
+                    }
+                    _ => self.types_not_before = self.now + self.cfg.report_ms / 4,
+                }
+            }
+            Purpose::TypesPut => {
+                self.types_in_flight = false;
+                self.types_dirty = false;
+                if !matches!(reply, StateReply::Committed { .. }) {
+                    self.types_kept = false; // read what is there
+                }
+            }
+            Purpose::Load { token } => {
+                self.with_reign(|reign, ctx, calls, _| {
+                    if reign.token == token {
+                        reign.load_answer(ctx, calls, reply);
+                    }
+                });
+            }
+            Purpose::Flush { token, flush } => {
+                let out = self.with_reign(|reign, ctx, _, _| {
+                    (reign.token == token).then(|| reign.flush_answer(ctx, *flush, reply))
+                });
+                if let Some(Some(out)) = out {
+                    for job in out.ends {
+                        self.calls.log(Level::Info, "job_done", format!("job={job}"));
+                        self.table.put_final(job, Final::Done);
+                    }
+                    self.door.reads.extend(out.read.into_iter().map(|j| (j, Vec::new())));
+                    if out.deposed {
+                        self.election.step_down(self.now);
+                    }
+                }
+            }
+            Purpose::Refresh { token, key } => {
+                self.with_reign(|reign, _, _, _| {
+                    if reign.token == token {
+                        reign.refresh_answer(key, reply);
+                    }
+                });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn unread(&mut self, job: JobId, asks: Vec<Ask>) {
+        if asks.is_empty() {
+            if let Some(r) = self.reign.as_mut() {
+                r.unknown.insert(job);
+            }
+        }
+        self.busy(asks, 1, "no check possible");
+    }
+
+    pub(super) fn jobs_listed(&mut self, after: Option<String>, reply: StateReply) {
+        let StateReply::Rows { items, more, revision } = reply else {
+            self.jobs_in_flight = false;
+            self.jobs_list_revision = None;
+            self.jobs_not_before = self.now + self.cfg.report_ms / 4;
+            return;
+        };
+        for i in &items {
+            self.apply(i);
+        }
+        // Entries we hold in this stretch of keys that are not listed any more.
+        let from = after.as_deref().unwrap_or(ACTIVE);
+        let to = items.last().filter(|_| more).map(|i| i.key.as_str());
+        let listed: std::collections::BTreeSet<&str> =
+            items.iter().map(|i| i.key.as_str()).collect();
+        let gone: Vec<JobId> = self
+            .table
+            .active
+            .keys()
+            .filter(|j| {
+                let key = active_key(**j);
+                key.as_str() > from
+                    && to.is_none_or(|t| key.as_str() <= t)
+                    && !listed.contains(key.as_str())
+            })
+            .copied()
+            .collect();
+        for job in gone {
+            self.table.remove_active(job, revision + 1);
+        }
+        // The watch starts where the first page was read.
+        let first = *self.jobs_list_revision.get_or_insert(revision);
+        if more {
+            self.list_jobs(items.last().map(|i| i.key.clone()));
+            return;
+        }
+        self.jobs_in_flight = false;
+        self.jobs_list_revision = None;
+        self.jobs_revision = Some(first);
+        self.jobs_loaded = true;
+    }
+
+    pub(super) fn submitted(&mut self, batch: Vec<NewJob>, reply: StateReply) {
+        self.door.submits_in_flight -= 1;
+        match reply {
+            StateReply::Committed { revision } => {
+                for new in batch {
+                    let record = JobRecord { at: self.wall, spec: *new.spec };
+                    self.table.put_active(new.job, revision, record);
+                    for ask in new.asks {
+                        self.door.waiting = self.door.waiting.saturating_sub(1);
+                        self.calls.answer(ask.req, Answer::Created { job: new.job });
+                    }
+                }
+            }
+            StateReply::Conflict { failed } => {
+                let mut rest = Vec::new();
+                for new in batch {
+                    let keys = [active_key(new.job), final_key(new.job)];
+                    if keys.iter().any(|k| failed.contains(k)) {
+                        self.door.reads.push((new.job, new.asks));
+                    } else {
+                        rest.push(new);
+                    }
+                }
+                // One duplicate must not cost the others their place.
+                rest.append(&mut self.door.submits);
+                self.door.submits = rest;
+            }
+            StateReply::Refused => {
+                for new in batch {
+                    self.busy(new.asks, 1, "state service refused");
+                }
+            }
+            _ => {
+                for new in batch {
+                    self.busy(new.asks, 1, "not decided");
+                }
+            }
+        }
+    }
+
+    pub(super) fn cloud_reply(&mut self, op: OpId, reply: CloudReply) {
+        let Some(purpose) = self.calls.take(op) else { return };
+        match purpose {
+            Purpose::Types => {
+                self.types_in_flight = false;
+                self.types_not_before = self.now + self.cfg.lease_ms / 8;
+                if let CloudReply::Types(types) = reply {
+                    self.types_not_before = self.now + self.cfg.lease_ms * 6;
+                    let shape = |t: &MachineType| {
+                        (t.name.clone(), t.cpus, t.gpus, t.memory_gb, t.zones.clone())
+                    };
+                    // Prices move all the time; only what decides a submission is kept.
+                    let same = types.len() == self.types.len()
+                        && types.iter().zip(&self.types).all(|(a, b)| shape(a) == shape(b));
+                    if !types.is_empty() {
+                        self.types_dirty |= !same || self.types_stamp == 0;
+                        self.types = types;
+                    }
+                }
+            }
+            Purpose::Rent { token, requisition } => {
+                self.with_reign(|reign, ctx, calls, _| {
+                    if reign.token == token {
+                        reign.rent_answer(ctx, calls, &requisition, reply);
+                    }
+                });
+            }
+            Purpose::Release { token, machines } => {
+                self.with_reign(|reign, ctx, calls, _| {
+                    if reign.token == token {
+                        reign.release_answer(ctx, calls, machines, reply);
+                    }
+                });
+            }
+            Purpose::List { token } => {
+                self.with_reign(|reign, ctx, calls, _| {
+                    if reign.token == token {
+                        reign.list_answer(ctx, calls, reply);
+                    }
+                });
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/reign/listing.rs
@@ -0,0 +1,70 @@
+//! What the cloud's list says of machines.
+
+use super::*;
+
+impl Reign {
+    pub fn list_answer(&mut self, ctx: &Ctx, calls: &mut Calls, reply: CloudReply) {
+        self.rental.list_in_flight = false;
+        let CloudReply::Listed { machines, more } = reply else {
+            self.rental.next_list = ctx.now + ctx.cfg.lease_ms / 10;
+            self.rental.listing = None;
+            return;
+        };
+        let mut all = self.rental.listing.take().unwrap_or_default();
+        all.extend(machines);
+        if more && all.len() < 20_000 {
+            self.rental.listing = Some(all);
+            self.rental.next_list = ctx.now;
+            return;
+        }
+        self.rental.next_list = ctx.now + (ctx.cfg.list_lag_ms / 2).max(1000);
+        if !more {
+            self.strike_unlisted(ctx, calls, &all);
+        }
+        for l in all {
+            if self.returned.contains(&l.machine) {
+                continue;
+            }
+            let asked_at = ctx.now.saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as Ms);
+            let asked_at = (l.state == ListedState::Booting).then_some(asked_at);
+            if let Some(m) = self.machines.get_mut(&l.machine) {
+                m.asked_at = m.asked_at.or(asked_at);
+                m.listed = Some((l.state, ctx.now));
+                m.first_listed.get_or_insert(ctx.now);
+                if m.endpoint.is_empty() {
+                    m.endpoint = l.endpoint;
+                }
+                continue;
+            }
+            // Rented by an earlier leader, or carried out late.
+            let mut m = Machine::new(l.machine.clone(), &l.machine_type, &l.zone, l.spot, ctx.now);
+            m.endpoint = l.endpoint;
+            m.listed = Some((l.state, ctx.now));
+            m.first_listed = Some(ctx.now);
+            m.known_since = ctx.now.saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as Ms);
+            m.asked_at = asked_at;
+            calls.log(Level::Info, "machine_found", format!("machine={}", l.machine));
+            self.machines.insert(l.machine.clone(), m);
+            self.enroll(ctx, &l.machine);
+        }
+    }
+
+    /// Machines that a list shows to be gone: one that was listed stays listed until it is
+    /// gone, and a list is at most two lags old. What ran there need not wait for its lease.
+    pub(super) fn strike_unlisted(&mut self, ctx: &Ctx, calls: &mut Calls, all: &[ListedMachine]) {
+        let oldest = ctx.cfg.list_lag_ms * 5 / 2 + 1000;
+        let listed: HashSet<&MachineId> = all.iter().map(|l| &l.machine).collect();
+        let gone: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| m.first_listed.is_some_and(|t| self.rental.list_sent > t + oldest))
+            .filter(|m| m.last_checkin.is_none_or(|t| ctx.now > t + ctx.cfg.report_ms))
+            .filter(|m| m.returning != Returning::Releasing && !listed.contains(&m.id))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in gone {
+            calls.log(Level::Info, "machine_gone", format!("machine={id}"));
+            self.strike(ctx, calls, &id);
+        }
+    }
+}
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -17,9 +17,12 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
+mod listing;
 mod placing;
+mod preempting;
 mod renting;
 mod reports;
+mod returning;
 mod takeover;
 mod writing;
 
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -19,7 +19,7 @@
         types.iter().position(|t| t.name == name)
     }
 
-    fn usable(&self, ctx: &Ctx, m: &Machine) -> bool {
+    pub(super) fn usable(&self, ctx: &Ctx, m: &Machine) -> bool {
         m.accounted
             && m.hears
             && ctx.now >= m.deaf_until
@@ -299,7 +299,7 @@
     }
 
     /// Tasks of a job that its team's limit still allows.
-    fn limit_room(&self, ctx: &Ctx, id: JobId, used: &[(f64, f64)]) -> u32 {
+    pub(super) fn limit_room(&self, ctx: &Ctx, id: JobId, used: &[(f64, f64)]) -> u32 {
         let Some(j) = self.jobs.get(&id) else { return 0 };
         ctx.cfg.teams[j.team].room(used[j.team], &j.spec).min(j.pending())
     }
@@ -462,104 +462,4 @@
         }
         placed
     }
-
-    /// Tasks that may be stopped for others, in the order of [`Victim`]. Checkpointing work
-    /// only: what cannot save would lose all it has done.
-    fn victims(&self, ctx: &Ctx) -> Vec<Victim> {
-        let mut victims: Vec<Victim> = Vec::new();
-        for m in self.machines.values().filter(|m| self.usable(ctx, m)) {
-            for (key, e) in &m.entries {
-                let Some(n) = e.need.filter(|n| n.save_s.is_some()) else { continue };
-                // Stopping what has just begun costs more than it ran.
-                let ran = e.running_since.map_or(0, |t| ctx.now - t) as f64 / 1000.0;
-                let young_s = n.save_s.map_or(0.0, |save| 4.0 * save);
-                // A job whose first task is stopped as it begins has waited in vain.
-                let first_s =
-                    if e.first { FIRST_LEASES * ctx.cfg.lease_ms as f64 / 1000.0 } else { 0.0 };
-                let young = ran < young_s.max(first_s);
-                if !e.runs() || e.stop.is_some() || young {
-                    continue;
-                }
-                let spare = self.reach.get(&key.0.job);
-                let rank = spare.map_or(i64::MIN, |s| -s as i64 / 30);
-                victims.push((n.priority, rank, Ms::MAX - e.since, m.id.clone(), *key, n));
-            }
-        }
-        victims.sort_by(|a, b| (a.0, a.1, a.2, &a.3, a.4).cmp(&(b.0, b.1, b.2, &b.3, b.4)));
-        victims
-    }
-
-    /// Makes room for work that must not wait, at the cost of work that can save.
-    fn preempt(
-        &mut self,
-        ctx: &Ctx,
-        calls: &mut Calls,
-        blocked: &[JobId],
-        used: &[(f64, f64)],
-        rooms: &[Room],
-    ) {
-        let free: f64 = rooms.iter().map(|r| r.cpus).sum();
-        let leaving: f64 = self
-            .machines
-            .values()
-            .flat_map(|m| m.entries.values())
-            .filter(|e| e.holds() && e.stop.is_some())
-            .filter_map(|e| e.need)
-            .map(|n| n.cpus)
-            .sum();
-        let mut coming = free + leaving;
-        let mut freed: BTreeMap<usize, f64> = BTreeMap::new();
-        let mut victims: Option<Vec<Victim>> = None;
-        let mut stopped = 0;
-        for id in blocked {
-            let Some(j) = self.jobs.get(id) else { continue };
-            let team = &ctx.cfg.teams[j.team];
-            let mut want = j.spec.cpus * self.limit_room(ctx, *id, used) as f64;
-            let from_coming = coming.min(want);
-            coming -= from_coming;
-            want -= from_coming;
-            // A job with time to lose gets room as tasks end; each stop costs a save and a start.
-            let soon_ms = SOON_LEASES * ctx.cfg.lease_ms as f64;
-            let pressed = self.reach.get(id).is_some_and(|spare_s| spare_s * 1000.0 < soon_ms);
-            let mut guarantee = (team.cpus - used[j.team].0).max(0.0);
-            if want <= 1e-9 || !(pressed || guarantee >= j.spec.cpus - 1e-9) {
-                continue;
-            }
-            let victims = victims.get_or_insert_with(|| self.victims(ctx));
-            let mut cleared = false;
-            for (priority, _, _, machine, key, n) in victims.iter() {
-                if want <= 1e-9 {
-                    break;
-                }
-                let borrowed = used[n.team].0
-                    - freed.get(&n.team).copied().unwrap_or(0.0)
-                    - ctx.cfg.teams[n.team].cpus;
-                let lower = *priority < j.spec.priority
-                    && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9)
-                    && pressed;
-                let reclaim = n.team != j.team
-                    && guarantee >= j.spec.cpus - 1e-9
-                    && borrowed >= n.cpus - 1e-9;
-                if !lower && !reclaim {
-                    continue;
-                }
-                let m = self.machines.get_mut(machine);
-                let e = m.and_then(|m| m.entries.get_mut(key)).filter(|e| e.stop.is_none());
-                let Some(e) = e else { continue };
-                e.stop = n.save_s.map(|s| s + 1.0);
-                e.stop_sent = None;
-                want -= n.cpus;
-                guarantee -= n.cpus;
-                *freed.entry(n.team).or_default() += n.cpus;
-                stopped += 1;
-                cleared = true;
-            }
-            if cleared {
-                self.reserved.insert(*id, ctx.now + ctx.cfg.lease_ms);
-            }
-        }
-        if stopped > 0 {
-            calls.log(Level::Debug, "preempted", format!("tasks={stopped}"));
-        }
-    }
 }
--- /dev/null
+++ b/crates/basaltrail-core/src/reign/returning.rs
@@ -0,0 +1,204 @@
+//! Machines given back, and what silence of many of them means.
+
+use super::*;
+use crate::boot::NEVER;
+
+impl Reign {
+    /// Gives back what is drained, failed or lost.
+    pub(super) fn returns(&mut self, ctx: &Ctx, calls: &mut Calls) {
+        let ready = ctx.entitled && !ctx.types.is_empty();
+        let busy = self.rental.release_in_flight || ctx.now < self.rental.release_not_before;
+        if !ready || busy {
+            return;
+        }
+        let boot_ms = ctx.types.iter().map(|t| t.boot_s).fold(1.0, f64::max) * 1000.0;
+        let lag = ctx.cfg.list_lag_ms;
+        self.note_cuts(ctx);
+        let woke = self.woke;
+        // After a takeover older work waits for a word of every machine that may hold some.
+        // Those few that are silent when the others have spoken are most likely dead, and
+        // the answer to their release makes sure of it sooner than their lease does. Many
+        // silent ones of a zone are cut off, and come back.
+        let unheard = |m: &Machine| !m.accounted && m.greeted == 0 && m.last_checkin.is_none();
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values() {
+            let zone = zones.entry(&m.zone).or_default();
+            zone.0 += 1;
+            zone.1 += unheard(m) as usize;
+        }
+        let late = ctx.now > self.since.max(woke) + ctx.cfg.lease_ms / 2;
+        let few = |zone: &str| late && zones.get(zone).is_some_and(|(n, s)| s * UNHEARD_FEW <= *n);
+        let mut go = Vec::new();
+        for m in self.machines.values() {
+            let age = ctx.now - m.known_since;
+            let seen = m.listed.is_some_and(|(_, at)| ctx.now <= at + lag * 4 + 4000);
+            let failed = matches!(m.listed, Some((ListedState::Failed, _)));
+            let silence = ctx.now - m.heard_at.unwrap_or(m.known_since).max(woke);
+            // One that reports and does not hear is of no use.
+            let up = m.last_checkin.is_some()
+                && !m.lapsed
+                && (silence <= ctx.cfg.lease_ms * 3 || !m.empty());
+            let cut = self.cut_until.contains_key(&m.zone);
+            // Its time is over by its own word; the answer makes sure that it is gone.
+            let taken = m.gone_at.is_some_and(|t| ctx.now > t + 500)
+                && m.last_checkin.is_some_and(|t| ctx.now > t.max(woke) + ctx.cfg.report_ms);
+            let why = if taken {
+                "taken"
+            } else if unheard(m) && few(&m.zone) {
+                "unheard"
+            } else if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
+                "drained"
+            } else if up && m.empty() && m.faulty(ctx.now, ctx.cfg.lease_ms) {
+                "faulty"
+            } else if up || !m.accounted {
+                continue;
+            } else if failed {
+                "failed"
+            } else if !seen && silence > ctx.cfg.lease_ms + lag * 4 + 4000 && age > lag * 4 + 4000 {
+                "gone"
+            } else if m.last_checkin.is_some() && !cut && silence > ctx.cfg.lease_ms * 3 {
+                "silent"
+            } else if m.late && m.given_up {
+                "never up"
+            } else if m.last_checkin.is_none()
+                && !cut
+                && age as f64 > boot_ms * NEVER + 2.0 * ctx.cfg.lease_ms as f64
+            {
+                "unheard for long"
+            } else if silence > ctx.cfg.lease_ms * 12 {
+                "silent for long"
+            } else {
+                continue;
+            };
+            go.push((m.id.clone(), why));
+            if go.len() >= RELEASE_MOST {
+                break;
+            }
+        }
+        if go.is_empty() || !calls.cloud.take(ctx.now, 1.0, Class::Completion) {
+            return;
+        }
+        for (id, why) in &go {
+            if let Some(m) = self.machines.get_mut(id) {
+                m.returning = Returning::Releasing;
+                let t = ctx.types.iter().find(|t| t.name == m.machine_type);
+                if let Some(t) = t.filter(|_| m.given_up && m.last_checkin.is_none()) {
+                    self.rental.boots.missed(t, &m.zone, ctx.now);
+                }
+            }
+            calls.log(Level::Info, "machine_return", format!("machine={id} why={why:?}"));
+        }
+        let go: Vec<MachineId> = go.into_iter().map(|(id, _)| id).collect();
+        self.rental.release_in_flight = true;
+        let purpose = Purpose::Release { token: self.token, machines: go.clone() };
+        calls.cloud(purpose, CloudOp::Release(go), ctx.cfg.lease_ms / 2);
+    }
+
+    /// Whether most machines of a zone that were in use under an earlier leader have not
+    /// spoken yet: that leader may have ended within a cut.
+    pub(super) fn unheard(&self, zone: &str) -> bool {
+        let (mut all, mut silent) = (0, 0);
+        for m in self.machines.values().filter(|m| m.expected && m.zone == zone) {
+            all += 1;
+            silent += m.last_checkin.is_none() as usize;
+        }
+        all > 2 && silent * 2 > all
+    }
+
+    /// Zones most of whose machines went silent: cut off rather than broken. They
+    /// count as such for a while after, since their machines come back one by one.
+    pub(super) fn note_cuts(&mut self, ctx: &Ctx) {
+        let mut count: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.last_checkin.is_some()) {
+            let c = count.entry(&m.zone).or_default();
+            c.0 += 1;
+            c.1 += m.lapsed as usize;
+        }
+        for (zone, (n, lapsed)) in count {
+            if n > 2 && lapsed * 2 > n {
+                self.cut_until.insert(zone.to_string(), ctx.now + ctx.cfg.lease_ms);
+            }
+        }
+        self.cut_until.retain(|_, until| *until > ctx.now);
+    }
+
+    /// Whether this node seems to have lost the workers: most of those that reported to
+    /// it went silent, in its own zone too, well before their leases end.
+    pub(super) fn find_lost(&self, ctx: &Ctx) -> bool {
+        let silent_after = ctx.cfg.lease_ms * 2 / 5;
+        let (mut all, mut silent, mut near, mut near_silent) = (0, 0, 0, 0);
+        for m in self.machines.values().filter(|m| m.returning == Returning::No) {
+            let Some(at) = m.last_checkin else { continue };
+            let is_silent = (ctx.now > at.max(self.woke) + silent_after) as usize;
+            all += 1;
+            silent += is_silent;
+            if m.zone == ctx.cfg.zone {
+                near += 1;
+                near_silent += is_silent;
+            }
+        }
+        all > 2 && silent * 3 > all * 2 && near_silent * 3 >= near * 2
+    }
+
+    /// Leaves word of the zone with the most machines.
+    pub(super) fn note_home(&mut self) {
+        let mut count: BTreeMap<&str, usize> = BTreeMap::new();
+        for m in self.machines.values() {
+            *count.entry(&m.zone).or_default() += 1;
+        }
+        let home = count.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string());
+        if home.is_some() && home != self.home {
+            self.home = home;
+            self.home_due = true;
+        }
+    }
+
+    pub fn release_answer(
+        &mut self,
+        ctx: &Ctx,
+        calls: &mut Calls,
+        machines: Vec<MachineId>,
+        reply: CloudReply,
+    ) {
+        self.rental.release_in_flight = false;
+        if reply == CloudReply::Released {
+            for id in machines {
+                self.strike(ctx, calls, &id);
+            }
+        } else {
+            // They stay marked: a release that was given up may still be carried out.
+            self.rental.release_not_before = ctx.now + ctx.cfg.lease_ms / 10;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::sample::settings;
+
+    /// A leader that ended within a cut leaves a successor that has heard nothing of the
+    /// zone beyond it: what it rents there is paid for and cannot be reached.
+    #[test]
+    fn nothing_is_rented_where_an_earlier_leaders_machines_are_silent() {
+        let (cfg, table) = (settings(), Table::new(10));
+        let ctx = Ctx { cfg: &cfg, types: &[], table: &table, now: 500, wall: 0, entitled: true };
+        let mut reign = Reign::new(&ctx, Token(2), 1);
+        for i in 0..8 {
+            let zone = if i < 4 { "a" } else { "b" };
+            let id = MachineId(format!("m-{i}").into());
+            let mut m = Machine::new(id.clone(), "x", zone, false, 0);
+            m.expected = true;
+            // Zone a has spoken, but for one; of zone b one was rented since.
+            m.last_checkin = (i < 3).then_some(400);
+            reign.machines.insert(id, m);
+        }
+        let new = MachineId("m-9".into());
+        reign.machines.insert(new.clone(), Machine::new(new, "x", "b", false, 400));
+        assert!(!reign.unheard("a") && reign.unheard("b"));
+        for m in reign.machines.values_mut().filter(|m| m.zone == "b").take(2) {
+            m.last_checkin = Some(500);
+        }
+        assert!(!reign.unheard("b"), "half of its machines have spoken");
+    }
+}
