--- a/crates/basaltrail-core/src/boot.rs
+++ b/crates/basaltrail-core/src/boot.rs
@@ -119,9 +119,9 @@
     }
 }
 
-/// Boot times of 0 are taken for a second.
+/// Boot times of 0 are taken for a second, and senseless ones for some days.
 fn nominal_ms(t: &MachineType) -> f64 {
-    t.boot_s.max(1.0) * 1000.0
+    t.boot_s.clamp(1.0, 1e6) * 1000.0
 }
 
 #[cfg(test)]
@@ -151,7 +151,8 @@
         assert_eq!(b.never_after(&t, "a", 2_000), 140_000);
         assert_eq!(b.never_after(&t, "b", 2_000), 80_000);
         assert_eq!(b.late_after(&t, "a", 500_000), 50_000, "long ago");
-        assert!(b.late_after(&MachineType { boot_s: 0.0, ..a_type() }, "a", 0) > 0);
+        let odd = |boot_s| b.late_after(&MachineType { boot_s, ..a_type() }, "a", 0);
+        assert!(odd(0.0) > 0 && odd(f64::MAX) < Ms::MAX / 2);
     }
 
     /// A zone where machines do not come is tried with a few, and trusted once they come.
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -174,9 +174,12 @@
                 let t = ctx.types.iter().find(|t| t.name == k.machine_type);
                 t.map_or(0, |t| self.rental.boots.room(t, &k.zone, asked, ctx.now))
             };
-            let Some((n, kind)) =
-                open.find_map(|k| Some((short(&k).min(boots(&k)), k)).filter(|(n, _)| *n > 0))
-            else {
+            // A team without a limit may have work for more machines than can report here.
+            let taken = self.machines.len() + self.rental.asked(|_| true);
+            let left = ctx.cfg.machines_most.saturating_sub(taken);
+            let Some((n, kind)) = open.find_map(|k| {
+                Some((short(&k).min(boots(&k)).min(left), k)).filter(|(n, _)| *n > 0)
+            }) else {
                 break;
             };
             self.rental.counter += 1;
@@ -314,7 +317,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::settings::sample::{a_type, settings};
+    use crate::settings::sample::{a_job, a_type, settings};
     use crate::settings::Team;
 
     /// A job that met faulty machines twice is held back to one task. Nobody else wanted
@@ -324,11 +327,7 @@
         let inf = f64::INFINITY;
         let team = Team { name: "t".into(), cpus: 8.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
         let cfg = Settings { teams: vec![team], ..settings() };
-        let spec: JobSpec = serde_json::from_str(
-            r#"{"class":"c","team":"t","priority":"n","tasks":9,"cpus":4,"memory_gb":1,
-                "spot":false,"image":"i","image_gb":1,"estimate_s":10}"#,
-        )
-        .unwrap();
+        let spec = a_job(9, false);
         let types = [a_type()];
         let mut table = Table::new(10);
         table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
@@ -349,4 +348,21 @@
         assert_eq!(reign.lacking(&ctx, &[], &kind), 1);
         assert_eq!(reign.demand(&ctx)[0].machines, 0.5);
     }
+
+    /// A guest's array of 100,000 tasks asks for more machines than can report to a leader.
+    #[test]
+    fn a_team_without_a_limit_rents_no_more_than_can_report() {
+        let inf = f64::INFINITY;
+        let team = Team { name: "t".into(), cpus: 0.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
+        let cfg = Settings { teams: vec![team], machines_most: 70, ..settings() };
+        let spec = a_job(100_000, true);
+        let types = [a_type()];
+        let mut table = Table::new(10);
+        table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
+        let ctx =
+            Ctx { cfg: &cfg, types: &types, table: &table, now: 500, wall: 0, entitled: true };
+        let mut reign = Reign::new(&ctx, Token(2), 1);
+        reign.plan(&ctx, &mut Calls::default());
+        assert_eq!(reign.rental.asked(|_| true), 70);
+    }
 }
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -62,6 +62,8 @@
     pub cloud_rps: f64,
     pub list_lag_ms: Ms,
     pub memory_mb: f64,
+    /// Machines that may report to one controller beside its users.
+    pub machines_most: usize,
     /// Differs at every start of the process.
     pub incarnation: u64,
     pub policy: Policy,
@@ -154,7 +156,7 @@
 #[cfg(test)]
 pub(crate) mod sample {
     use super::*;
-    use crate::model::MachineType;
+    use crate::model::{MachineType, Priority};
 
     pub(crate) fn settings() -> Settings {
         Settings {
@@ -175,11 +177,35 @@
             cloud_rps: 5.0,
             list_lag_ms: 3_000,
             memory_mb: 56.0,
+            machines_most: 300,
             incarnation: 1,
             policy: Policy::default(),
         }
     }
 
+    pub(crate) fn a_job(tasks: u32, spot: bool) -> JobSpec {
+        JobSpec {
+            class: "c".into(),
+            team: "t".into(),
+            priority: Priority::Low,
+            tasks,
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot,
+            image: "i".into(),
+            image_gb: 1.0,
+            estimate_s: 100.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
     pub(crate) fn a_type() -> MachineType {
         MachineType {
             name: "x".into(),
@@ -199,7 +225,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::model::{JobSpec, Priority};
 
     /// What nobody knows the use of counts in full: an infinite use of no limit is no amount.
     #[test]
@@ -207,26 +232,7 @@
         let inf = f64::INFINITY;
         let team =
             |max| Team { name: "t".into(), cpus: 0.0, cpus_max: max, gpus: 0.0, gpus_max: inf };
-        let job = JobSpec {
-            class: "c".into(),
-            team: "t".into(),
-            priority: Priority::Low,
-            tasks: 9,
-            cpus: 4.0,
-            gpus: 0.0,
-            memory_gb: 1.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: true,
-            image: "i".into(),
-            image_gb: 1.0,
-            estimate_s: 1.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-        };
+        let job = sample::a_job(9, true);
         assert_eq!(team(inf).room((inf, inf), &job), u32::MAX);
         assert_eq!(team(inf).room((1e9, 0.0), &job), u32::MAX);
         assert_eq!(team(16.0).room((8.0, 0.0), &job), 2);
--- a/crates/basaltrail-core/tests/scale.rs
+++ b/crates/basaltrail-core/tests/scale.rs
@@ -45,6 +45,7 @@
         cloud_rps: 8.0,
         list_lag_ms: 5_000,
         memory_mb: 188.0,
+        machines_most: 5_000,
         incarnation,
         policy: Policy::default(),
     }
--- a/crates/basaltrail-core/tests/simulation.rs
+++ b/crates/basaltrail-core/tests/simulation.rs
@@ -50,6 +50,7 @@
         cloud_rps: 5.0,
         list_lag_ms: LIST_LAG,
         memory_mb: 56.0,
+        machines_most: 5_000,
         incarnation,
         policy: Policy::default(),
     }
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -33,6 +33,7 @@
         cloud_rps: 100.0,
         list_lag_ms: 3_000,
         memory_mb: 56.0,
+        machines_most: 5_000,
         incarnation: 7,
         policy: Policy { leader_lease: 0.5, ..Policy::default() },
     }
--- a/crates/basaltrail/src/settings.rs
+++ b/crates/basaltrail/src/settings.rs
@@ -203,6 +203,7 @@
         cloud_rps: positive("cloud.rps", p.cloud.rps)?,
         list_lag_ms: (p.cloud.list_lag_s.clamp(0.0, 1e6) * 1000.0) as u64,
         memory_mb: positive("resources.mem_mb", p.resources.mem_mb)?,
+        machines_most: p.resources.max_connections / 2,
         incarnation: SmallRng::from_os_rng().random(),
         policy: Policy::default(),
     };
