--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -365,4 +365,35 @@
         reign.plan(&ctx, &mut Calls::default());
         assert_eq!(reign.rental.asked(|_| true), 70);
     }
+
+    /// A machine that never came stood for room for as long as four boots and two leases,
+    /// while the work that it was rented for waited.
+    #[test]
+    fn late_machines_are_rented_elsewhere() {
+        let inf = f64::INFINITY;
+        let team = Team { name: "t".into(), cpus: 0.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
+        let cfg = Settings { teams: vec![team], ..settings() };
+        let types = [a_type()];
+        let mut table = Table::new(10);
+        table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
+        let ctx =
+            Ctx { cfg: &cfg, types: &types, table: &table, now: 500, wall: 0, entitled: true };
+        let calls = &mut Calls::default();
+        let mut reign = Reign::new(&ctx, Token(2), 1);
+        reign.plan(&ctx, calls);
+        assert_eq!(reign.rental.asked(|_| true), 5);
+        let zone = reign.rental.pending[0].kind.zone.clone();
+        let name = reign.rental.pending[0].requisition.clone();
+        let ids = (0..5).map(|i| MachineId(format!("m-{i}").into())).collect();
+        reign.rent_answer(&ctx, calls, &name, CloudReply::Rented(ids));
+        reign.plan(&Ctx { now: 45_000, ..ctx }, calls);
+        assert_eq!(reign.rental.asked(|_| true), 0, "they may still come");
+        reign.plan(&Ctx { now: 51_000, ..ctx }, calls);
+        assert_eq!(reign.rental.asked(|_| true), 5);
+        let there = reign.rental.asked(|k| k.zone == zone);
+        assert!(there <= 2, "{there} more where none came");
+        // Nobody is rented a third time, and those that never came go back.
+        reign.plan(&Ctx { now: 81_000, ..ctx }, calls);
+        assert!(reign.machines.values().all(|m| m.given_up));
+    }
 }
