Nothing is started on old word of jobs; a stop goes out with every answer

Cause: a leader that came back into its right after an outage, and a successor whose watch hung, placed by the jobs they knew before. What another node had confirmed as cancelled meanwhile was started, or its lease renewed, until the watch was answered (up to 8.5 s at a lease of 15 s). The right itself held: 0.35 of a lease, then nobody renews, so what ran was gone within 1.35 leases of the refusal.

Now: what came before the right began must be read before anything is started (a watch that does not wait is asked for it), word older than a watch leaves it starts nothing, and word older than cancel_s less a lease renews nothing. A stop without grace is in every answer, so that whoever is renewed has been told. A check that confirmed an entry which went meanwhile, and a record that cannot be read, are no 404.

Excluded: the bound of the right, loans after an outage, the successor. Both sides of an upgrade are free: nothing stored or sent between nodes changes.

--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::{Bucket, Class};
 use crate::election::Call;
-use crate::frontdoor::{Ask, NewJob};
+use crate::frontdoor::{Ask, Confirming, NewJob};
 use crate::io::*;
 use crate::model::*;
 use crate::reign::Flush;
@@ -11,10 +11,10 @@
 /// What an answer is for.
 pub enum Purpose {
     Election(Call),
-    JobsList { after: Option<String> },
-    JobsWatch,
+    JobsList { after: Option<String>, sent: Ms },
+    JobsWatch { sent: Ms, catch_up: bool },
     Submit(Vec<NewJob>),
-    Check(Vec<(JobId, Vec<Ask>)>),
+    Check(Vec<Confirming>),
     ReadActive { job: JobId, asks: Vec<Ask> },
     ReadFinal { job: JobId, asks: Vec<Ask> },
     Cancel { job: JobId, asks: Vec<Ask> },
--- a/crates/basaltrail-core/src/frontdoor.rs
+++ b/crates/basaltrail-core/src/frontdoor.rs
@@ -26,6 +26,13 @@
 /// A job and those who wait for word of it.
 pub type Waiting = (JobId, Vec<Ask>);
 
+/// A job whose entry is being confirmed, and whether it is the entry or that there is none.
+pub struct Confirming {
+    pub job: JobId,
+    pub asks: Vec<Ask>,
+    pub known: bool,
+}
+
 pub struct NewJob {
     pub job: JobId,
     pub spec: Box<JobSpec>,
@@ -95,7 +102,7 @@
         &mut self,
         table: &Table,
         conditions: usize,
-    ) -> (Vec<Waiting>, Vec<(String, u64)>) {
+    ) -> (Vec<Confirming>, Vec<(String, u64)>) {
         let mut jobs = Vec::new();
         let mut conds = Vec::new();
         while conds.len() + 2 <= conditions {
@@ -108,7 +115,7 @@
                     conds.push((final_key(job), 0));
                 }
             }
-            jobs.push((job, asks));
+            jobs.push(Confirming { job, asks, known: table.active.contains_key(&job) });
         }
         (jobs, conds)
     }
@@ -146,8 +153,8 @@
         }
         door.check(0, JobId(900), ask(30));
         let (jobs, conds) = door.take_checks(&table, 8);
-        assert_eq!(jobs[0].0, JobId(900));
-        assert_eq!(jobs[0].1.len(), 2);
+        assert_eq!(jobs[0].job, JobId(900));
+        assert_eq!(jobs[0].asks.len(), 2);
         assert_eq!((jobs.len(), conds.len()), (4, 8));
         assert_eq!(door.jobs_to_check(), 17);
     }
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -47,6 +47,12 @@
     jobs_in_flight: bool,
     jobs_not_before: Ms,
     jobs_list_revision: Option<u64>,
+    /// When the call was sent whose answer told of jobs last: what came before is known.
+    jobs_as_of: Option<Ms>,
+    catching_up: bool,
+    catch_up_not_before: Ms,
+    /// Since when this node has had its right without a break.
+    entitled_since: Option<Ms>,
     reign: Option<Reign>,
     state_ok: Ms,
     /// When a peer last told of progress, as only a leader does.
@@ -76,6 +82,10 @@
             jobs_in_flight: false,
             jobs_not_before: 0,
             jobs_list_revision: None,
+            jobs_as_of: None,
+            catching_up: false,
+            catch_up_not_before: 0,
+            entitled_since: None,
             reign: None,
             state_ok: 0,
             leader_heard: 0,
@@ -137,6 +147,7 @@
         &mut self,
         f: impl FnOnce(&mut Reign, &Ctx, &mut Calls, &mut SmallRng) -> T,
     ) -> Option<T> {
+        let informed = self.informed();
         let reign = self.reign.as_mut()?;
         let ctx = Ctx {
             cfg: &self.cfg,
@@ -145,6 +156,7 @@
             now: self.now,
             wall: self.wall,
             entitled: self.election.entitled(self.now),
+            informed,
         };
         Some(f(reign, &ctx, &mut self.calls, &mut self.rng))
     }
@@ -165,8 +177,11 @@
             self.calls.pay(self.now, Class::Lease);
             self.calls.state(Purpose::Election(call), op, timeout);
         }
+        let entitled = self.election.entitled(self.now);
+        self.entitled_since = entitled.then(|| self.entitled_since.unwrap_or(self.now));
         self.follow_role();
         self.jobs_view();
+        self.catch_up();
         self.types_view();
         self.flush_door();
         let changed = std::mem::take(&mut self.table.changed);
@@ -227,6 +242,7 @@
                 now: self.now,
                 wall: self.wall,
                 entitled: true,
+                informed: false,
             };
             self.reign = Some(Reign::new(&ctx, l.token, l.stamp));
         }
@@ -242,20 +258,49 @@
         self.jobs_in_flight = true;
         let patience = self.cfg.leader_lease_ms() / 2;
         match self.jobs_revision {
-            None => self.list_jobs(None),
+            None => self.list_jobs(None, self.now),
             Some(after) => {
                 // Short enough that a watch that went dead costs little of `cancel_s`.
-                let wait_ms = self.cfg.cancel_ms / 6;
+                let wait_ms = self.cfg.watch_ms();
                 let op = StateOp::Watch { prefix: JOBS.into(), after, wait_ms };
-                self.calls.state(Purpose::JobsWatch, op, wait_ms + patience);
+                let purpose = Purpose::JobsWatch { sent: self.now, catch_up: false };
+                self.calls.state(purpose, op, wait_ms + patience);
             }
         }
     }
 
-    fn list_jobs(&mut self, after: Option<String>) {
+    /// Whether what ended before our right began is known, and our knowledge no older than
+    /// a watch that is answered leaves it. Users may have been told elsewhere that a job is
+    /// cancelled while we stood still, were cut off or had no right: until we have read that,
+    /// nothing is started.
+    fn informed(&self) -> bool {
+        let (Some(as_of), Some(since)) = (self.jobs_as_of, self.entitled_since) else {
+            return false;
+        };
+        let late = self.cfg.watch_ms() + self.cfg.leader_lease_ms() / 2 + self.cfg.report_ms;
+        as_of >= since && self.now <= as_of + late
+    }
+
+    /// A watch that hangs, or was opened before our right began, is not waited for.
+    fn catch_up(&mut self) {
+        let (Some(since), Some(after)) = (self.entitled_since, self.jobs_revision) else { return };
+        let due = self.cfg.watch_ms() + self.cfg.leader_lease_ms() / 4;
+        let known = |t| t >= since && self.now <= t + due;
+        let wait = self.catching_up || self.now < self.catch_up_not_before;
+        if wait || self.jobs_as_of.is_some_and(known) {
+            return;
+        }
+        self.catching_up = true;
+        self.calls.pay(self.now, Class::Lease);
+        let op = StateOp::Watch { prefix: JOBS.into(), after, wait_ms: 0 };
+        let purpose = Purpose::JobsWatch { sent: self.now, catch_up: true };
+        self.calls.state(purpose, op, self.cfg.leader_lease_ms() / 4);
+    }
+
+    fn list_jobs(&mut self, after: Option<String>, sent: Ms) {
         let patience = self.cfg.leader_lease_ms() / 2;
         let op = StateOp::List { prefix: ACTIVE.into(), after: after.clone(), limit: 500 };
-        self.calls.state(Purpose::JobsList { after }, op, patience);
+        self.calls.state(Purpose::JobsList { after, sent }, op, patience);
     }
 
     fn types_view(&mut self) {
@@ -320,10 +365,15 @@
     // ---- workers ----
 
     fn checkin(&mut self, req: ReqId, report: &Report) {
-        let answer = if self.election.entitled(self.now) {
-            self.with_reign(|reign, ctx, calls, rng| reign.checkin(ctx, calls, report, rng))
-        } else {
+        // What we answer keeps a task for a lease more, and it may be of a job whose user was
+        // told long ago that it is cancelled.
+        let recent = self.jobs_as_of.is_some_and(|t| self.now <= t + self.cfg.word_ms());
+        let answer = if !self.election.entitled(self.now) {
             None
+        } else if !recent {
+            Some(Answer::Busy { retry_s: 1, why: "jobs not read" })
+        } else {
+            self.with_reign(|reign, ctx, calls, rng| reign.checkin(ctx, calls, report, rng))
         };
         let answer = answer.unwrap_or_else(|| {
             let leader = self.election.leader_hint().filter(|l| *l != self.cfg.node);
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -1,6 +1,7 @@
 //! Answers of the state service and the cloud.
 
 use super::*;
+use crate::frontdoor::Confirming;
 
 impl Node {
     pub(super) fn apply(&mut self, item: &Item) {
@@ -34,9 +35,18 @@
                     self.calls.state(Purpose::Election(call), op, timeout);
                 }
             }
-            Purpose::JobsList { after } => self.jobs_listed(after, reply),
-            Purpose::JobsWatch => {
-                self.jobs_in_flight = false;
+            Purpose::JobsList { after, sent } => self.jobs_listed(after, sent, reply),
+            Purpose::JobsWatch { sent, catch_up } => {
+                let pause = match catch_up {
+                    true => &mut self.catch_up_not_before,
+                    false => &mut self.jobs_not_before,
+                };
+                // Changes come in crowds; one watch for each would cost too much.
+                *pause = self.now + self.cfg.report_ms / 10;
+                match catch_up {
+                    true => self.catching_up = false,
+                    false => self.jobs_in_flight = false,
+                }
                 match reply {
                     StateReply::Events { revision, events } => {
                         for e in &events {
@@ -51,11 +61,10 @@
                             }
                         }
                         self.jobs_revision = self.jobs_revision.max(Some(revision));
-                        // Changes come in crowds; one watch for each would cost too much.
-                        self.jobs_not_before = self.now + self.cfg.report_ms / 10;
+                        self.jobs_as_of = self.jobs_as_of.max(Some(sent));
                     }
                     StateReply::Compacted => self.jobs_revision = None,
-                    _ => self.jobs_not_before = self.now + self.cfg.report_ms / 4,
+                    _ => *pause = self.now + self.cfg.report_ms / 4,
                 }
             }
             Purpose::Submit(batch) => self.submitted(batch, reply),
@@ -63,12 +72,17 @@
                 self.door.checks_in_flight -= 1;
                 match reply {
                     StateReply::Committed { .. } => {
-                        for (job, asks) in jobs {
-                            self.confirmed(job, asks);
+                        for c in jobs {
+                            // What was confirmed is an entry that went since: it has an end.
+                            if c.known && self.door.view(&self.table, c.job).is_none() {
+                                self.door.reads.push((c.job, c.asks));
+                            } else {
+                                self.confirmed(c.job, c.asks);
+                            }
                         }
                     }
                     StateReply::Conflict { failed } => {
-                        for (job, asks) in jobs {
+                        for Confirming { job, asks, .. } in jobs {
                             if failed.contains(&active_key(job)) || failed.contains(&final_key(job))
                             {
                                 self.door.reads.push((job, asks));
@@ -79,8 +93,8 @@
                         self.door.checks_since = self.now;
                     }
                     _ => {
-                        for (_, asks) in jobs {
-                            self.busy(asks, 1, "no check possible");
+                        for c in jobs {
+                            self.busy(c.asks, 1, "no check possible");
                         }
                     }
                 }
@@ -88,7 +102,11 @@
             Purpose::ReadActive { job, asks } => match reply {
                 StateReply::Found(item) => {
                     self.apply(&item);
-                    self.confirmed(job, asks);
+                    // A record that cannot be read is not none.
+                    match self.door.view(&self.table, job) {
+                        Some(_) => self.confirmed(job, asks),
+                        None => self.busy(asks, 1, "record unreadable"),
+                    }
                 }
                 // The end is read after the entry was found missing: a job only ever
                 // goes from one to the other, so missing both means it never was.
@@ -103,7 +121,11 @@
             Purpose::ReadFinal { job, asks } => match reply {
                 StateReply::Found(item) => {
                     self.apply(&item);
-                    self.confirmed(job, asks);
+                    // A record that cannot be read is not none.
+                    match self.door.view(&self.table, job) {
+                        Some(_) => self.confirmed(job, asks),
+                        None => self.busy(asks, 1, "record unreadable"),
+                    }
                 }
                 StateReply::Missing => self.confirmed(job, asks),
                 _ => self.unread(job, asks),
@@ -183,7 +205,7 @@
         self.busy(asks, 1, "no check possible");
     }
 
-    pub(super) fn jobs_listed(&mut self, after: Option<String>, reply: StateReply) {
+    pub(super) fn jobs_listed(&mut self, after: Option<String>, sent: Ms, reply: StateReply) {
         let StateReply::Rows { items, more, revision } = reply else {
             self.jobs_in_flight = false;
             self.jobs_list_revision = None;
@@ -216,12 +238,13 @@
         // The watch starts where the first page was read.
         let first = *self.jobs_list_revision.get_or_insert(revision);
         if more {
-            self.list_jobs(items.last().map(|i| i.key.clone()));
+            self.list_jobs(items.last().map(|i| i.key.clone()), sent);
             return;
         }
         self.jobs_in_flight = false;
         self.jobs_list_revision = None;
         self.jobs_revision = Some(first);
+        self.jobs_as_of = self.jobs_as_of.max(Some(sent));
         self.jobs_loaded = true;
     }
 
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -35,6 +35,8 @@
     pub now: Ms,
     pub wall: WallMs,
     pub entitled: bool,
+    /// Everything that ended before the right began is known: tasks may be started.
+    pub informed: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -330,7 +332,7 @@
             self.log_round(ctx, calls);
             self.changed = true;
         }
-        if (self.changed || ctx.now >= self.wake_at) && ctx.entitled {
+        if (self.changed || ctx.now >= self.wake_at) && ctx.entitled && ctx.informed {
             self.place(ctx, calls, rng);
         }
         self.flush(ctx, calls);
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -252,7 +252,7 @@
     /// the answer to the next report, and its room would be idle until then.
     pub(super) fn fill(&mut self, ctx: &Ctx, machine: &MachineId, rng: &mut SmallRng) {
         let room = self.machines.get(machine).and_then(|m| self.room(ctx, m));
-        let Some(room) = room.filter(|_| ctx.entitled) else { return };
+        let Some(room) = room.filter(|_| ctx.entitled && ctx.informed) else { return };
         let Some(mut pass) = self.pass.take() else { return };
         self.visited += 1;
         let mut rooms = vec![room];
@@ -489,7 +489,15 @@
         };
         let mut table = Table::new(10);
         table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(100, true) });
-        let ctx = Ctx { cfg: &cfg, types: &[], table: &table, now: 0, wall: 0, entitled: true };
+        let ctx = Ctx {
+            cfg: &cfg,
+            types: &[],
+            table: &table,
+            now: 0,
+            wall: 0,
+            entitled: true,
+            informed: true,
+        };
         let mut reign = Reign::new(&ctx, Token(2), 1);
         reign.fleet_cpus = 1_000.0;
         assert!(reign.find_reach(&ctx, &[(0.0, 0.0); 2]).contains_key(&JobId(1)));
--- a/crates/basaltrail-core/src/reign/preempting.rs
+++ b/crates/basaltrail-core/src/reign/preempting.rs
@@ -114,8 +114,15 @@
     #[test]
     fn first_tasks_are_not_stopped_as_they_begin() {
         let (cfg, types, table) = (settings(), [a_type()], Table::new(10));
-        let at =
-            |now| Ctx { cfg: &cfg, types: &types, table: &table, now, wall: 0, entitled: true };
+        let at = |now| Ctx {
+            cfg: &cfg,
+            types: &types,
+            table: &table,
+            now,
+            wall: 0,
+            entitled: true,
+            informed: true,
+        };
         let mut reign = Reign::new(&at(0), Token(2), 1);
         let spec = a_job(9, true);
         let id = MachineId("m-1".into());
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -331,8 +331,15 @@
         let types = [a_type()];
         let mut table = Table::new(10);
         table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
-        let ctx =
-            Ctx { cfg: &cfg, types: &types, table: &table, now: 500, wall: 0, entitled: true };
+        let ctx = Ctx {
+            cfg: &cfg,
+            types: &types,
+            table: &table,
+            now: 500,
+            wall: 0,
+            entitled: true,
+            informed: true,
+        };
         let mut reign = Reign::new(&ctx, Token(2), 1);
         let kind = Kind { machine_type: "x".into(), zone: "a".into(), spot: false };
         assert_eq!(reign.lacking(&ctx, &[], &kind), 5);
@@ -359,8 +366,15 @@
         let types = [a_type()];
         let mut table = Table::new(10);
         table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
-        let ctx =
-            Ctx { cfg: &cfg, types: &types, table: &table, now: 500, wall: 0, entitled: true };
+        let ctx = Ctx {
+            cfg: &cfg,
+            types: &types,
+            table: &table,
+            now: 500,
+            wall: 0,
+            entitled: true,
+            informed: true,
+        };
         let mut reign = Reign::new(&ctx, Token(2), 1);
         reign.plan(&ctx, &mut Calls::default());
         assert_eq!(reign.rental.asked(|_| true), 70);
@@ -376,8 +390,15 @@
         let types = [a_type()];
         let mut table = Table::new(10);
         table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
-        let ctx =
-            Ctx { cfg: &cfg, types: &types, table: &table, now: 500, wall: 0, entitled: true };
+        let ctx = Ctx {
+            cfg: &cfg,
+            types: &types,
+            table: &table,
+            now: 500,
+            wall: 0,
+            entitled: true,
+            informed: true,
+        };
         let calls = &mut Calls::default();
         let mut reign = Reign::new(&ctx, Token(2), 1);
         reign.plan(&ctx, calls);
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -38,7 +38,10 @@
                 let e = m.entries.get_mut(&(task, attempt))?;
                 e.need = need;
                 let Some(j) = self.jobs.get_mut(&task.job) else {
-                    self.unknown.insert(task.job);
+                    match ctx.table.ended(task.job) {
+                        Some(_) => e.stop = Some(0.0),
+                        None => drop(self.unknown.insert(task.job)),
+                    }
                     return None;
                 };
                 j.started = true;
@@ -199,7 +202,7 @@
         let room = Self::type_index(ctx.types, &m.machine_type)
             .is_some_and(|i| m.used().0 < ctx.types[i].cpus);
         self.changed |= !usable || (room && self.short_of_room);
-        if self.changed {
+        if self.changed && ctx.informed {
             self.place(ctx, calls, rng);
         }
         self.fill(ctx, &r.machine, rng);
@@ -275,13 +278,16 @@
                         orders.push(Order::Forget { task, attempt });
                     }
                 }
+                Place::Assigned { .. } if !ctx.informed => {}
                 Place::Assigned { .. } => {
                     e.place = Place::Sent;
                     orders.push(Order::Start { task, attempt });
                 }
                 _ => {
                     let Some(grace_s) = e.stop else { continue };
-                    if e.stop_sent.is_none_or(|t| ctx.now >= t + repeat) {
+                    // With every answer that renews the lease: what does not hear the stop
+                    // is not renewed either, so it ends by one of the two.
+                    if grace_s <= 0.0 || e.stop_sent.is_none_or(|t| ctx.now >= t + repeat) {
                         // A second stop with some grace left does not cut a save short.
                         e.stop_sent = Some(ctx.now);
                         orders.push(Order::Stop { task, attempt, grace_s });
--- a/crates/basaltrail-core/src/reign/returning.rs
+++ b/crates/basaltrail-core/src/reign/returning.rs
@@ -182,7 +182,15 @@
     #[test]
     fn nothing_is_rented_where_an_earlier_leaders_machines_are_silent() {
         let (cfg, table) = (settings(), Table::new(10));
-        let ctx = Ctx { cfg: &cfg, types: &[], table: &table, now: 500, wall: 0, entitled: true };
+        let ctx = Ctx {
+            cfg: &cfg,
+            types: &[],
+            table: &table,
+            now: 500,
+            wall: 0,
+            entitled: true,
+            informed: true,
+        };
         let mut reign = Reign::new(&ctx, Token(2), 1);
         for i in 0..8 {
             let zone = if i < 4 { "a" } else { "b" };
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -196,7 +196,15 @@
         table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
         let gone = JobSpec { team: "gone".into(), ..a_job(9, true) };
         table.put_active(JobId(2), 2, JobRecord { at: 0, spec: gone });
-        let ctx = Ctx { cfg: &cfg, types: &[], table: &table, now: 500, wall: 0, entitled: true };
+        let ctx = Ctx {
+            cfg: &cfg,
+            types: &[],
+            table: &table,
+            now: 500,
+            wall: 0,
+            entitled: true,
+            informed: true,
+        };
         let led = |value: &str| {
             let mut reign = Reign::new(&ctx, Token(2), 1);
             reign.loading = Loading::Ledger;
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -124,6 +124,18 @@
         ms - ms / 500
     }
 
+    /// How old the leader's knowledge of jobs may be while it still answers workers: what it
+    /// answers last keeps a task for a worker's lease, and a task of a cancelled job must be
+    /// gone `cancel_s` after its user was told.
+    pub fn word_ms(&self) -> Ms {
+        self.cancel_ms.saturating_sub(self.surely(self.lease_ms)).max(self.cancel_ms / 4)
+    }
+
+    /// How long one watch of the jobs waits for news.
+    pub fn watch_ms(&self) -> Ms {
+        (self.cancel_ms / 6).min(self.word_ms() / 3)
+    }
+
     pub fn team(&self, name: &str) -> Option<usize> {
         self.teams.iter().position(|t| t.name == name)
     }
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -74,6 +74,10 @@
     stuck: Vec<StateOp>,
     /// With when each is to be answered, news or not, and when it is given up.
     watches: Vec<(OpId, String, u64, u64, u64)>,
+    /// No watch of the jobs is answered.
+    news_held: bool,
+    /// Watches that are never answered.
+    hung: Vec<OpId>,
     log: Vec<(String, u64, Option<String>)>,
     req: u64,
     out: Vec<String>,
@@ -92,6 +96,8 @@
             state: "up",
             stuck: Vec::new(),
             watches: Vec::new(),
+            news_held: false,
+            hung: Vec::new(),
             log: Vec::new(),
             req: 0,
             out: Vec::new(),
@@ -260,7 +266,8 @@
             self.t += 50;
             self.feed(Input::Tick);
             for (op, prefix, after, due, given_up) in std::mem::take(&mut self.watches) {
-                if self.state != "up" {
+                let held = self.news_held && prefix == records::JOBS;
+                if self.state != "up" || held || self.hung.contains(&op) {
                     if self.t >= given_up {
                         self.feed(Input::State { op, reply: StateReply::Unknown });
                     } else {
@@ -340,6 +347,12 @@
                 self.state =
                     ["up", "refusing", "silent"].into_iter().find(|s| *s == words[1]).unwrap();
             }
+            "news" => self.news_held = words[1] == "held",
+            "watch" => {
+                let jobs = self.watches.iter().filter(|w| w.1 == records::JOBS);
+                self.hung.extend(jobs.map(|w| w.0));
+                assert!(!self.hung.is_empty(), "no watch is open");
+            }
             // What got no answer is carried out now.
             "late" => {
                 for op in std::mem::take(&mut self.stuck) {
@@ -459,4 +472,9 @@
     no_start_after_a_silence
     machine_that_never_takes_the_token
     cut_node_names_nobody
+    right_is_back_before_the_news
+    short_outage_before_the_news
+    watch_that_hangs
+    successor_with_old_news
+    stop_goes_out_with_every_answer
 }
