Meetings in the simulation; a running wide job keeps no rest of a limit

The simulation plays late writes, answers lost at once, reports kept for the next leader, mute and deaf machines, cancellations in a burst, with hangs and at a job's end, odd requests and close looks, and refuses new watches in an outage as the service does.

Kept now only for a job of which nothing runs.

--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -227,8 +227,9 @@
                 waiting[team].retain(|j| *j != id);
                 blocked.push(id);
                 // Narrow tasks of lesser jobs would take what comes free of the limit, bit by
-                // bit, and a wide one would never find enough at once.
-                if self.limit_room(ctx, id, &used) == 0 {
+                // bit, and a wide one would never find enough at once. One that has tasks
+                // running takes what its own leave: what is too little for it is the others'.
+                if self.limit_room(ctx, id, &used) == 0 && self.runs_nothing(id) {
                     waiting[team].clear();
                 }
             } else if self.jobs.get(&id).is_none_or(|j| j.pending() == 0) {
@@ -283,7 +284,7 @@
             let Some((team, id)) = self.next_job(ctx, heads, &used) else { break };
             if !self.grant_one(ctx, id, u32::MAX, &mut rooms, &mut used, rng) {
                 next[team] += 1;
-                if self.limit_room(ctx, id, &used) == 0 {
+                if self.limit_room(ctx, id, &used) == 0 && self.runs_nothing(id) {
                     next[team] = usize::MAX;
                 }
             }
@@ -298,6 +299,10 @@
         self.jobs.get(id).is_some_and(ready) && !self.unknown.contains(id)
     }
 
+    fn runs_nothing(&self, id: JobId) -> bool {
+        self.jobs.get(&id).is_some_and(|j| j.placed.is_empty())
+    }
+
     /// Tasks of a job that its team's limit still allows.
     pub(super) fn limit_room(&self, ctx: &Ctx, id: JobId, used: &[(f64, f64)]) -> u32 {
         let Some(j) = self.jobs.get(&id) else { return 0 };
--- a/crates/basaltrail-core/tests/simulation/checks.rs
+++ b/crates/basaltrail-core/tests/simulation/checks.rs
@@ -90,3 +90,56 @@
         }
     }
 }
+
+impl World {
+    /// Once the troubles are over, no job is left waiting while a machine that fits has room
+    /// and its team is under its limit.
+    pub(super) fn check_left(&mut self) {
+        let t = self.t;
+        let mut used = [0.0; CPUS_MAX.len()];
+        let mut rooms = Vec::new();
+        let mut placed: BTreeSet<JobId> = BTreeSet::new();
+        let specs: BTreeMap<JobId, &JobSpec> =
+            self.users.iter().map(|u| (u.job, &u.spec)).collect();
+        let team = |s: &JobSpec| s.team[1..].parse::<usize>().unwrap();
+        for w in self.workers.iter().filter(|w| w.alive && t >= w.up_at) {
+            let mut room = CPUS;
+            let held = |r: &Running| !matches!(r.state, TaskState::Exited(_));
+            for (k, _) in w.tasks.iter().filter(|(_, r)| held(r)) {
+                let spec = specs[&k.0.job];
+                room -= spec.cpus;
+                used[team(spec)] += spec.cpus;
+                placed.insert(k.0.job);
+            }
+            let away = [w.hangs_until, w.deaf_until, w.mute_until].into_iter().any(|u| t < u);
+            if !away && !w.faulty && w.taken_at.is_none() {
+                rooms.push((w.zone, w.spot, room));
+            }
+        }
+        let quiet = self.quiet_at;
+        let mut bad = Vec::new();
+        for u in &mut self.users {
+            let s = &u.spec;
+            let waits = t > quiet
+                && u.told == Told::Accepted
+                && u.cancel_at.is_none()
+                && !u.broken
+                && u.done.len() < s.tasks as usize
+                && !placed.contains(&u.job)
+                && used[team(s)] + s.cpus <= CPUS_MAX[team(s)] + 1e-9
+                && rooms.iter().any(|(zone, spot, room)| {
+                    *room + 1e-9 >= s.cpus
+                        && (s.spot || !spot)
+                        && s.zone.as_deref().is_none_or(|z| z == ZONES[*zone])
+                });
+            u.left_since = waits.then(|| u.left_since.unwrap_or(t));
+            if u.left_since.is_some_and(|since| t > since + LEFT) {
+                u.left_since = None;
+                bad.push(u.job);
+            }
+        }
+        for job in bad {
+            self.rule(format!("left waiting: {job}"));
+        }
+    }
+}
--- a/crates/basaltrail-core/tests/simulation/days.rs
+++ b/crates/basaltrail-core/tests/simulation/days.rs
@@ -74,3 +74,22 @@
     let narrow = (0..200).map(|i| User::new(1000 + i, narrow.clone(), 5_000 + i * 1_400, None));
     begin_in_overload(wide, narrow);
 }
+
+/// What a team's limit leaves is too little for one more task of a wide job that runs: kept
+/// for it all the same, it would keep narrow jobs waiting beside machines with room.
+#[test]
+fn narrow_jobs_get_what_a_wide_one_cannot_use() {
+    let team = |spec: JobSpec| JobSpec { team: "t0".into(), ..spec };
+    let wide = team(overload_spec(60, 5.0, Priority::Normal));
+    let narrow = team(overload_spec(3, 1.0, Priority::Low));
+    let users = vec![
+        User::new(1000, wide.clone(), 5_000, None),
+        User::new(1001, wide, 6_000, None),
+        User::new(1002, narrow, 30_000, None),
+    ];
+    let mut w = World::with(SmallRng::seed_from_u64(1), users);
+    (w.long, w.quiet_at) = (true, 0);
+    w.run(0, 200_000);
+    assert!(w.broken.is_empty(), "{:#?}", w.broken);
+    assert!(w.users[1].begun.is_some() && w.users[2].begun.is_some_and(|b| b < 60_000));
+}
--- a/crates/basaltrail-core/tests/simulation/main.rs
+++ b/crates/basaltrail-core/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 
 mod checks;
 mod days;
+mod meetings;
 mod nodes;
 mod store;
 mod troubles;
@@ -30,6 +31,11 @@
 const CPUS_MAX: [f64; 3] = [24.0, 40.0, f64::INFINITY];
 /// Once the troubles are over, a job is spoken of within this.
 const KNOWN: u64 = 75_000;
+/// How long a job may wait while a machine has room for it.
+const LEFT: u64 = 90_000;
+/// A cancellation that was told is known to whoever starts tasks after so long: a watch, its
+/// patience, and what a worker takes of an answer that was held up.
+const HEARD: u64 = 13_000;
 const FAULTS_END: u64 = 160_000;
 const DAY: u64 = 420_000;
 
@@ -107,6 +113,8 @@
     waiting: Option<(u64, u64)>,
     next_report: u64,
     hangs_until: u64,
+    /// Its reports reach no controller.
+    mute_until: u64,
     /// Its reports arrive, answers to them do not.
     deaf_until: u64,
     rented: u64,
@@ -145,6 +153,8 @@
     /// When a question about the job was last answered, and its first task began.
     answered: u64,
     begun: Option<u64>,
+    /// Since when nothing of it is on a machine though one has room for it.
+    left_since: Option<u64>,
 }
 
 enum Msg {
@@ -155,7 +165,38 @@
     Report(MachineIdx, ReqId, Report),
     Orders(MachineIdx, u64, u64, Answer),
     User(usize),
-    Answer(usize, Answer),
+    Answer(Asker, Answer),
+}
+
+/// Who waits for an answer.
+#[derive(Clone, Copy)]
+enum Asker {
+    /// A worker, with the number of its report.
+    Worker(MachineIdx, u64),
+    User(usize, Question),
+    /// Somebody who asks for a job that nobody submitted.
+    Stranger,
+    /// Somebody whose job can never run.
+    Odd,
+}
+
+#[derive(Clone, Copy)]
+struct Question {
+    /// How long its user waits; what comes later nobody hears.
+    until: u64,
+    /// What the user had been told when it asked.
+    before: Told,
+    /// The user asks nothing else meanwhile.
+    alone: bool,
+}
+
+/// A trouble for a share of something.
+#[derive(Clone, Copy, Default)]
+struct Partly {
+    until: u64,
+    share: f64,
+    /// Of transactions: only the answer is lost. Of reports: kept for the next leader.
+    other: bool,
 }
 
 type MachineIdx = usize;
@@ -188,8 +229,7 @@
     workers: Vec<Worker>,
     requisitions: BTreeMap<String, Vec<MachineId>>,
     users: Vec<User>,
-    /// Who asked: a worker and the number of its report, or a user and how long it waits.
-    reqs: BTreeMap<ReqId, (bool, usize, u64)>,
+    reqs: BTreeMap<ReqId, Asker>,
     next_req: u64,
     zone_cut: Option<(u64, bool)>,
     /// Machines rented in a zone come late or never until then.
@@ -198,6 +238,29 @@
     storm_until: u64,
     /// When whoever leads then comes to stand: the successor of one that did.
     next_freeze: u64,
+    /// Transactions get no answer, and are carried out later, or at once.
+    late_writes: Partly,
+    /// Copies of reports come late, or when the next leader begins.
+    late_reports: Partly,
+    kept_reports: Vec<Report>,
+    /// Jobs are cancelled as their last task ends.
+    cancel_at_end: Partly,
+    /// Users ask at all nodes, within milliseconds, what they have just been told.
+    looks_until: u64,
+    odd_until: u64,
+    /// Machines are up within two seconds.
+    quick_boots: bool,
+    /// The state service answers so much later.
+    slow_state: u64,
+    /// Tasks run for a minute and more.
+    long: bool,
+    /// When each change of leader was seen: the node that leads since, and its process.
+    leaders: Vec<(u64, usize, u64)>,
+    /// How often a moment came that a day is to bring about.
+    met: BTreeMap<&'static str, u64>,
+    next_fault: u64,
+    faults_at_once: u32,
+    known: bool,
     broken: Vec<String>,
     started: u64,
     /// When the last trouble is over.
--- a/crates/basaltrail-core/tests/simulation/nodes.rs
+++ b/crates/basaltrail-core/tests/simulation/nodes.rs
@@ -18,14 +18,17 @@
         for e in effects {
             match e {
                 Effect::Answer { req, answer } => {
-                    let Some((worker, who, n)) = self.reqs.remove(&req) else { continue };
+                    let Some(asker) = self.reqs.remove(&req) else { continue };
                     let at = goes + self.delay();
-                    if worker {
-                        let at = self.between(i, who, at);
-                        let sent = self.workers[who].session;
-                        self.send(at, usize::MAX, 0, Msg::Orders(who, sent, n, answer));
-                    } else if goes >= island && at <= n {
-                        self.send(at, usize::MAX, 0, Msg::Answer(who, answer));
+                    match asker {
+                        Asker::Worker(who, n) => {
+                            let at = self.between(i, who, at);
+                            let sent = self.workers[who].session;
+                            self.send(at, usize::MAX, 0, Msg::Orders(who, sent, n, answer));
+                        }
+                        Asker::User(_, q) if at > q.until => {}
+                        _ if goes < island => {}
+                        _ => self.send(at, usize::MAX, 0, Msg::Answer(asker, answer)),
                     }
                 }
                 Effect::State { op, call, timeout_ms } => {
@@ -79,12 +82,38 @@
 
     pub(super) fn state(&mut self, i: usize, epoch: u64, op: OpId, call: StateOp) {
         let down = self.t < self.store.down_until || self.t < self.nodes[i].refused_until;
+        let shut = down || (self.nodes[i].state_cut.is_some() && op != OpId(u64::MAX));
         if let StateOp::Watch { prefix, after, wait_ms } = call {
+            // Watches that are open wait; a new one is refused.
+            if down {
+                let input = Input::State { op, reply: StateReply::Refused };
+                return self.send(self.t + 2, i, epoch, Msg::Input(input));
+            }
             self.store.watches.push((i, epoch, op, prefix, after, self.t + wait_ms));
             return self.watch();
         }
+        let changes =
+            matches!(&call, StateOp::Txn { puts, removes, .. } if puts.len() + removes.len() > 0);
+        let late = self.late_writes;
+        if changes && !shut && op != OpId(u64::MAX) && self.t < late.until {
+            let hit = self.rng.random_bool(late.share);
+            if hit && late.other {
+                if matches!(self.store.carry_out(self.t, &call), StateReply::Committed { .. }) {
+                    self.meet("answer lost");
+                }
+                return self.watch();
+            } else if hit {
+                let at = self.t + self.rng.random_range(2_000..12_000);
+                return self.send(at, i, epoch, Msg::State(OpId(u64::MAX), call));
+            }
+        }
         let reply = if down { StateReply::Refused } else { self.store.carry_out(self.t, &call) };
-        let at = self.t + self.delay();
+        if op == OpId(u64::MAX) && matches!(reply, StateReply::Committed { .. }) {
+            self.meet("late write won");
+        } else if op == OpId(u64::MAX) && matches!(reply, StateReply::Conflict { .. }) {
+            self.meet("late write lost");
+        }
+        let at = self.t + self.delay() + self.slow_state;
         let lost = self.t < FAULTS_END && self.rng.random_bool(0.01);
         if !lost && self.nodes[i].state_cut.is_none() {
             self.send(at, i, epoch, Msg::Input(Input::State { op, reply }));
@@ -143,6 +172,8 @@
                         let trouble = z == self.boot_trouble.0 && self.t < self.boot_trouble.1;
                         let boot = if self.rng.random_bool(if trouble { 0.4 } else { 0.02 }) {
                             DAY // never
+                        } else if self.quick_boots {
+                            self.rng.random_range(300..2_000)
                         } else if trouble {
                             self.rng.random_range(20_000..50_000)
                         } else if self.rng.random_bool(0.2) {
@@ -166,6 +197,7 @@
                             waiting: None,
                             next_report: up_at,
                             hangs_until: 0,
+                            mute_until: 0,
                             deaf_until: 0,
                             rented: self.t,
                             died: None,
--- a/crates/basaltrail-core/tests/simulation/users.rs
+++ b/crates/basaltrail-core/tests/simulation/users.rs
@@ -15,68 +15,123 @@
         let pause = if t < self.storm_until { 600 } else { 5_000 };
         let again = t + if u.told == Told::Nothing { 1_000 } else { pause };
         let over = matches!(u.told, Told::Done | Told::Cancelled(_));
-        self.next_req += 1;
-        let req = ReqId(self.next_req);
         let cancels = u.cancel_at.is_some_and(|c| t >= c) && !over;
-        let input = if u.told == Told::Nothing || u.asks.is_multiple_of(7) {
-            Input::Submit { req, job: u.job, spec: Box::new(u.spec.clone()) }
+        let what = if u.told == Told::Nothing || u.asks.is_multiple_of(7) {
+            What::Submit
         } else if cancels {
-            u.asked_to_cancel = true;
-            Input::Cancel { req, job: u.job }
+            What::Cancel
         } else {
-            Input::Poll { req, job: u.job }
+            What::Poll
         };
-        u.waits_until = t + if matches!(input, Input::Poll { .. }) { 2_000 } else { 5_000 };
-        let until = u.waits_until;
+        u.waits_until = t + what.patience();
         self.send(again, usize::MAX, 0, Msg::User(i));
-        if self.nodes[node].node.is_some() && t >= self.nodes[node].island_until {
-            self.reqs.insert(req, (false, i, until));
-            if self.copied() {
-                let at = t + self.rng.random_range(50..30_000);
-                let copy = match &input {
-                    Input::Submit { job, spec, .. } => {
-                        Input::Submit { req: ReqId(0), job: *job, spec: spec.clone() }
-                    }
-                    Input::Cancel { job, .. } => Input::Cancel { req: ReqId(0), job: *job },
-                    _ => Input::Tick,
-                };
-                self.send(at, node, 0, Msg::Input(copy));
-            }
-            let at = t + self.delay();
-            self.send(at, node, 0, Msg::Input(input));
-        }
+        self.ask(i, node, what, 0, true);
         // Somebody asks for a job that nobody submitted.
         if self.rng.random_bool(0.05) {
-            self.next_req += 1;
-            let req = ReqId(self.next_req);
-            self.reqs.insert(req, (false, usize::MAX, t + 2_000));
+            let req = self.request(Asker::Stranger);
             self.send(t + 1, node, 0, Msg::Input(Input::Poll { req, job: JobId(77) }));
         }
+        if t < self.odd_until {
+            self.odd(i, node);
+        }
     }
 
-    pub(super) fn answer(&mut self, i: usize, answer: Answer) {
-        if i == usize::MAX {
-            if matches!(answer, Answer::State { .. } | Answer::Created { .. }) {
-                self.rule("invented".into());
-            }
+    fn request(&mut self, asker: Asker) -> ReqId {
+        self.next_req += 1;
+        self.reqs.insert(ReqId(self.next_req), asker);
+        ReqId(self.next_req)
+    }
+
+    /// A user asks a node, `wait` from now.
+    fn ask(&mut self, i: usize, node: usize, what: What, wait: u64, alone: bool) {
+        let t = self.t;
+        if self.nodes[node].node.is_none() || t < self.nodes[node].island_until {
             return;
         }
+        let (before, until) = (self.users[i].told, t + wait + what.patience());
+        let req = self.request(Asker::User(i, Question { until, before, alone }));
+        let u = &mut self.users[i];
+        u.asked_to_cancel |= what == What::Cancel;
+        let input = what.input(req, u);
+        if self.copied() && what != What::Poll {
+            let at = t + self.rng.random_range(50..30_000);
+            let copy = what.input(ReqId(0), &self.users[i]);
+            self.send(at, node, 0, Msg::Input(copy));
+        }
+        let at = t + wait + self.delay();
+        self.send(at, node, 0, Msg::Input(input));
+    }
+
+    /// Its user calls a job off, now.
+    pub(super) fn cancel(&mut self, i: usize) {
+        self.users[i].cancel_at.get_or_insert(self.t);
+        let node = self.rng.random_range(0..NODES);
+        self.ask(i, node, What::Cancel, 0, false);
+    }
+
+    /// Right after a user was told something: at all nodes, again and again.
+    fn look(&mut self, i: usize) {
+        for node in 0..NODES {
+            for what in [What::Poll, What::Submit, What::Poll] {
+                let wait = self.rng.random_range(0..12);
+                self.ask(i, node, what, wait, false);
+            }
+        }
+        if self.users[i].told == Told::Accepted && self.rng.random_bool(0.1) {
+            self.meet("cancelled at once");
+            self.cancel(i);
+        }
+    }
+
+    /// Requests that a careful user would not send.
+    fn odd(&mut self, i: usize, node: usize) {
+        match self.users[i].told {
+            Told::Nothing => {}
+            Told::Accepted => self.ask(i, node, What::Submit, 0, false),
+            Told::Done => self.ask(i, node, What::Cancel, 0, false),
+            Told::Cancelled(_) => self.ask(i, node, What::Submit, 0, false),
+        }
+        let mut spec = self.users[i].spec.clone();
+        match self.rng.random_range(0..5) {
+            0 => spec.cpus = CPUS * 2.0,
+            1 => spec.types = Some(vec!["y".into()]),
+            2 => spec.zone = Some("q".into()),
+            3 => spec.team = "nobody".into(),
+            _ => (spec.team, spec.cpus) = ("t0".into(), CPUS_MAX[0] + 1.0),
+        }
+        let req = self.request(Asker::Odd);
+        let job = JobId(500_000 + req.0);
+        let input = Input::Submit { req, job, spec: Box::new(spec) };
+        self.send(self.t + 1, node, 0, Msg::Input(input));
+    }
+
+    pub(super) fn answer(&mut self, asker: Asker, answer: Answer) {
+        let known = matches!(answer, Answer::State { .. } | Answer::Created { .. });
+        let (i, q) = match asker {
+            Asker::User(i, q) => (i, q),
+            Asker::Stranger if known => return self.rule("invented".into()),
+            Asker::Odd if known => return self.rule("accepted what can never run".into()),
+            Asker::Odd if matches!(answer, Answer::Impossible(_)) => return self.meet("422"),
+            _ => return,
+        };
         let t = self.t;
         let u = &mut self.users[i];
-        u.waits_until = t;
-        let old = u.told;
-        if matches!(answer, Answer::Created { .. } | Answer::State { .. }) {
+        if q.alone {
+            u.waits_until = t;
+        }
+        let now = u.told;
+        if known {
             u.answered = t;
         }
         let mut bad = None;
         match answer {
             Answer::Created { .. } => {
-                if old != Told::Nothing && old != Told::Accepted {
-                    bad = Some("went_back: an ended job was accepted anew");
+                if q.before != Told::Nothing {
+                    bad = Some("went_back: a known job was accepted anew");
                 }
-                u.told = if old == Told::Nothing { Told::Accepted } else { old };
+                u.told = if now == Told::Nothing { Told::Accepted } else { now };
             }
-            Answer::State { view, .. } => match (view, old) {
+            Answer::State { view, .. } => match (view, now) {
                 (JobView::Done, Told::Cancelled(_)) => {
                     bad = Some("went_back: cancelled, then done")
                 }
@@ -94,17 +149,84 @@
                     }
                     u.told = Told::Cancelled(t);
                 }
-                (_, Told::Done | Told::Cancelled(_)) => bad = Some("went_back: ended, then alive"),
+                _ if matches!(q.before, Told::Done | Told::Cancelled(_)) => {
+                    bad = Some("went_back: ended, then alive")
+                }
                 (_, Told::Nothing) => u.told = Told::Accepted,
                 _ => {}
             },
-            Answer::NotFound if old != Told::Nothing => bad = Some("forgotten: 404"),
+            Answer::NotFound if q.before != Told::Nothing => bad = Some("forgotten: 404"),
             Answer::Invalid(_) | Answer::Impossible(_) => bad = Some("forgotten: refused"),
             _ => {}
         }
+        let told = u.told;
         if let Some(b) = bad {
             let job = self.users[i].job;
             self.rule(format!("{b}: {job}"));
         }
+        if !q.alone && known && q.before != Told::Nothing {
+            self.meet("looked");
+        }
+        if told != now {
+            if matches!(told, Told::Cancelled(_)) {
+                self.note_cancelled(i);
+            }
+            if t < self.looks_until {
+                self.look(i);
+            }
+        }
+    }
+
+    /// In which moment a cancellation was confirmed.
+    fn note_cancelled(&mut self, i: usize) {
+        let job = self.users[i].job;
+        let on = |w: &&Worker| w.tasks.iter().any(|(k, r)| k.0.job == job && Self::on_machine(r));
+        let t = self.t;
+        let mut runs = false;
+        let mut far = false;
+        for w in self.workers.iter().filter(on) {
+            runs = true;
+            far |= t < w.hangs_until || t < w.deaf_until || t < w.mute_until;
+            far |= self.zone_cut.is_some();
+        }
+        if runs {
+            self.meet("cancelled as it ran");
+        }
+        if far {
+            self.meet("cancelled out of reach");
+        }
+        let apart = |c: &Controller| t < c.refused_until || c.state_cut.is_some();
+        if runs && self.nodes.iter().any(|c| apart(c) && c.node.as_ref().is_some_and(Node::leading))
+        {
+            self.meet("cancelled beside a leader that is refused");
+        }
+        if runs && self.leader().is_none() {
+            self.meet("cancelled without a leader");
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum What {
+    Submit,
+    Poll,
+    Cancel,
+}
+
+impl What {
+    /// How long a user waits for the answer.
+    fn patience(self) -> u64 {
+        match self {
+            What::Poll => 2_000,
+            _ => 5_000,
+        }
+    }
+
+    fn input(self, req: ReqId, u: &User) -> Input {
+        match self {
+            What::Submit => Input::Submit { req, job: u.job, spec: Box::new(u.spec.clone()) },
+            What::Poll => Input::Poll { req, job: u.job },
+            What::Cancel => Input::Cancel { req, job: u.job },
+        }
     }
 }
--- a/crates/basaltrail-core/tests/simulation/workers.rs
+++ b/crates/basaltrail-core/tests/simulation/workers.rs
@@ -75,6 +75,7 @@
                         .collect(),
                 };
                 let to = w.to;
+                let mute = t < w.mute_until;
                 self.next_req += 1;
                 let req = ReqId(self.next_req);
                 let at = t + self.delay();
@@ -85,7 +86,20 @@
                     let input = Input::Checkin { req: ReqId(0), report: Box::new(report.clone()) };
                     self.send(at, to, 0, Msg::Input(input));
                 }
-                self.send(at, to, 0, Msg::Report(m, req, report));
+                let late = self.late_reports;
+                if t < late.until && self.rng.random_bool(late.share) {
+                    if !late.other {
+                        let at = t + self.rng.random_range(2_000..3 * LEASE);
+                        let input =
+                            Input::Checkin { req: ReqId(0), report: Box::new(report.clone()) };
+                        self.send(at, to, 0, Msg::Input(input));
+                    } else if self.kept_reports.len() < 4_000 {
+                        self.kept_reports.push(report.clone());
+                    }
+                }
+                if !mute {
+                    self.send(at, to, 0, Msg::Report(m, req, report));
+                }
             }
         }
     }
@@ -112,6 +126,13 @@
                 let why = if fails { Why::Error } else { Why::Done };
                 if !fails {
                     self.users[user].done.insert(task.index);
+                    let u = &self.users[user];
+                    let last = u.done.len() == u.spec.tasks as usize;
+                    let late = self.cancel_at_end;
+                    if last && t < late.until && self.rng.random_bool(late.share) {
+                        self.meet("cancelled at its end");
+                        self.cancel(user);
+                    }
                 }
                 self.workers[m].tasks.get_mut(&key).unwrap().state = TaskState::Exited(why);
                 self.workers[m].next_report = t;
@@ -171,6 +192,16 @@
                         self.rule(format!("started a task of no job: {task:?}"));
                         continue;
                     };
+                    if let Told::Cancelled(at) = self.users[user].told {
+                        self.met
+                            .entry("start after a cancellation")
+                            .and_modify(|n| *n += 1)
+                            .or_default();
+                        if t > at + HEARD {
+                            self.broken
+                                .push(format!("{t} ms: started {task:?}, cancelled at {at}"));
+                        }
+                    }
                     let spec = &self.users[user].spec;
                     let used: f64 = w
                         .tasks
@@ -191,7 +222,8 @@
                         TaskState::Fetching
                     };
                     let until = t + self.rng.random_range(200..2_500);
-                    let progress_until = until + self.rng.random_range(2_000..25_000);
+                    let run = if self.long { 60_000..110_000 } else { 2_000..25_000 };
+                    let progress_until = until + self.rng.random_range(run);
                     w.tasks.insert((task, attempt), Running { state, until, progress_until });
                 }
                 Order::Stop { task, attempt, grace_s } => {
--- a/crates/basaltrail-core/tests/simulation/world.rs
+++ b/crates/basaltrail-core/tests/simulation/world.rs
@@ -17,6 +17,7 @@
             waits_until: 0,
             answered: 0,
             begun: None,
+            left_since: None,
         }
     }
 }
@@ -91,6 +92,20 @@
             boot_trouble: (0, 0),
             storm_until: 0,
             next_freeze: u64::MAX,
+            late_writes: Partly::default(),
+            late_reports: Partly::default(),
+            kept_reports: Vec::new(),
+            cancel_at_end: Partly::default(),
+            looks_until: 0,
+            odd_until: 0,
+            quick_boots: false,
+            slow_state: 0,
+            long: false,
+            leaders: Vec::new(),
+            met: BTreeMap::new(),
+            next_fault: u64::MAX,
+            faults_at_once: 0,
+            known: false,
             broken: Vec::new(),
             started: 0,
             quiet_at: FAULTS_END,
@@ -137,8 +152,17 @@
     }
 
     pub(super) fn run(&mut self, faults_at_once: u32, until: u64) {
-        let mut next_fault = 15_000;
-        let mut known = false;
+        self.faults_at_once = faults_at_once;
+        self.next_fault = 15_000;
+        self.play(until);
+    }
+
+    /// Whether a moment came.
+    pub(super) fn meet(&mut self, moment: &'static str) {
+        *self.met.entry(moment).or_default() += 1;
+    }
+
+    pub(super) fn play(&mut self, until: u64) {
         while self.t < until {
             let world = self.t + 20;
             while let Some(e) = self.queue.first_entry().filter(|e| e.key().0 < world) {
@@ -155,6 +179,10 @@
             self.watch();
             self.workers();
             self.check_cancelled();
+            self.note_leader();
+            if self.t.is_multiple_of(1_000) {
+                self.check_left();
+            }
             if self.t >= self.next_freeze {
                 self.next_freeze = u64::MAX;
                 let until = self.t + self.rng.random_range(2_000..15_000);
@@ -163,14 +191,14 @@
                     self.quiet_at = self.quiet_at.max(until);
                 }
             }
-            if self.t >= next_fault && self.t < FAULTS_END {
-                for _ in 0..faults_at_once {
+            if self.t >= self.next_fault && self.t < FAULTS_END {
+                for _ in 0..self.faults_at_once {
                     self.fault();
                 }
-                next_fault = self.t + self.rng.random_range(3_000..20_000);
+                self.next_fault = self.t + self.rng.random_range(3_000..20_000);
             }
-            if !known && self.t >= FAULTS_END && self.t >= self.quiet_at + KNOWN {
-                known = true;
+            if !self.known && self.t >= FAULTS_END && self.t >= self.quiet_at + KNOWN {
+                self.known = true;
                 self.check_known();
             }
         }
@@ -202,13 +230,13 @@
             Msg::Cloud(op, call) => self.cloud(node, epoch, op, call),
             Msg::Report(m, req, report) => {
                 if self.nodes[node].node.is_some() {
-                    self.reqs.insert(req, (true, m, report.seq));
+                    self.reqs.insert(req, Asker::Worker(m, report.seq));
                     self.step(node, Input::Checkin { req, report: Box::new(report) });
                 }
             }
             Msg::Orders(m, session, seq, answer) => self.orders(m, session, seq, answer),
             Msg::User(i) => self.user(i),
-            Msg::Answer(i, answer) => self.answer(i, answer),
+            Msg::Answer(asker, answer) => self.answer(asker, answer),
         }
     }
 }
