--- a/crates/basaltrail-core/tests/simulation/meetings.rs
+++ b/crates/basaltrail-core/tests/simulation/meetings.rs
@@ -417,7 +417,12 @@
         for (i, u) in w.users.iter_mut().enumerate() {
             u.spec.team = format!("t{}", i % 2);
             u.spec.cpus = [1.0, 2.0, 4.0][i % 3];
+            // Jobs that come after the change of leader need not wait for older ones' machines.
+            if i >= 20 {
+                u.at = 70_000 + (i as u64 - 20) * 1_200;
+            }
         }
+        w.restart_users();
         w.wait(70_000);
         let used = |w: &World, team: &str| -> f64 {
             let tasks = w.workers.iter().flat_map(|m| &m.tasks);
