What is written stays within the next limits of the state service too

A part of the roster that an earlier version left larger than a value may be is cut before anything is added: what moves is written first, then the old part is overwritten, and no machine that the old part calls free gets work until then. Names found in two parts are free only if both say so, which is also how a leader that ended in between, or an old one that wrote large parts again, is met.

A 400 of the service is told from a 503: a rejected transaction is halved, what is rejected alone rests for six leases, with one log line; a submission that cannot be kept costs the others of its group nothing. Roster parts are written in turn.

--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use crate::health::MachineHealth;
 use crate::model::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Place {
@@ -126,6 +126,8 @@
     /// Roster part that holds it durably.
     pub durable: bool,
     pub part: Option<usize>,
+    /// Other parts of the roster, not rewritten yet, that say that nothing runs here.
+    pub free_in: BTreeSet<usize>,
     pub gone_at: Option<Ms>,
     pub returning: Returning,
     pub release_in_flight: bool,
@@ -171,6 +173,7 @@
             entries: BTreeMap::new(),
             durable: false,
             part: None,
+            free_in: BTreeSet::new(),
             gone_at: None,
             returning: Returning::No,
             release_in_flight: false,
--- a/crates/basaltrail-core/src/frontdoor.rs
+++ b/crates/basaltrail-core/src/frontdoor.rs
@@ -37,6 +37,8 @@
     pub job: JobId,
     pub spec: Box<JobSpec>,
     pub asks: Vec<Ask>,
+    /// The service rejected it among others: it goes in a transaction of its own.
+    pub alone: bool,
 }
 
 #[derive(Default)]
--- a/crates/basaltrail-core/src/io.rs
+++ b/crates/basaltrail-core/src/io.rs
@@ -59,8 +59,10 @@
         events: Vec<Event>,
     },
     Compacted,
-    /// Surely not executed (429, 503, 400).
+    /// Surely not executed (429, 503).
     Refused,
+    /// Not executed, and never will be as it is (400).
+    Rejected,
     /// May have been executed, or be executed later.
     Unknown,
 }
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -314,6 +314,9 @@
                 let op = StateOp::Get(TYPES.into());
                 self.calls.state(Purpose::TypesKept, op, timeout);
             }
+        } else if self.types_dirty && encode(&self.types).len() > self.cfg.value_bytes {
+            // Too many to keep: every node asks the cloud.
+            self.types_dirty = false;
         } else if self.types_dirty {
             if self.calls.pay(self.now, Class::Door)
                 && self.calls.writes.take(self.now, 1.0, Class::Door)
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -179,6 +179,9 @@
                         self.calls.log(Level::Info, "job_done", format!("job={job}"));
                         self.table.put_final(job, Final::Done);
                     }
+                    if let Some(keys) = out.rejected {
+                        self.calls.log(Level::Error, "write_rejected", format!("key={keys}"));
+                    }
                     self.door.reads.extend(out.read.into_iter().map(|j| (j, Vec::new())));
                     if out.deposed {
                         self.election.step_down(self.now);
@@ -275,8 +278,19 @@
                 rest.append(&mut self.door.submits);
                 self.door.submits = rest;
             }
-            StateReply::Refused => {
+            StateReply::Rejected if batch.len() > 1 => {
+                // One that cannot be kept must not cost the others their place.
+                let mut rest: Vec<NewJob> =
+                    batch.into_iter().map(|new| NewJob { alone: true, ..new }).collect();
+                rest.append(&mut self.door.submits);
+                self.door.submits = rest;
+            }
+            StateReply::Refused | StateReply::Rejected => {
                 for new in batch {
+                    if reply == StateReply::Rejected {
+                        let detail = format!("key={}", active_key(new.job));
+                        self.calls.log(Level::Error, "write_rejected", detail);
+                    }
                     self.busy(new.asks, 1, "state service refused");
                 }
             }
--- a/crates/basaltrail-core/src/node/users.rs
+++ b/crates/basaltrail-core/src/node/users.rs
@@ -20,7 +20,8 @@
                     let record = JobRecord { at: self.wall, spec: (*new.spec).clone() };
                     let value = encode(&record);
                     bytes += value.len();
-                    if bytes > 48 * 1024 && !batch.is_empty() {
+                    let alone = new.alone || batch.first().is_some_and(|b| b.alone);
+                    if (alone || bytes > 48 * 1024) && !batch.is_empty() {
                         self.door.submits.insert(0, new);
                         break;
                     }
@@ -104,6 +105,10 @@
         if let Some(why) = impossible(&self.cfg, &self.types, &spec) {
             return self.calls.answer(req, Answer::Impossible(why));
         }
+        let record = JobRecord { at: self.wall, spec: (*spec).clone() };
+        if encode(&record).len() > self.cfg.value_bytes {
+            return self.calls.answer(req, Answer::Invalid("the description is too long to keep"));
+        }
         let most = (self.cfg.memory_mb * ACTIVE_PER_MB).max(100.0) as usize;
         if self.table.active.len() >= most {
             return self.calls.answer(req, Answer::Busy { retry_s: 10, why: "too many jobs" });
@@ -111,7 +116,7 @@
         self.door.waiting += 1;
         match self.door.submits.iter_mut().find(|n| n.job == job) {
             Some(n) => n.asks.push(ask),
-            None => self.door.submits.push(NewJob { job, spec, asks: vec![ask] }),
+            None => self.door.submits.push(NewJob { job, spec, asks: vec![ask], alone: false }),
         }
     }
 
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -23,6 +23,7 @@
 mod renting;
 mod reports;
 mod returning;
+mod roster;
 mod takeover;
 mod writing;
 
@@ -57,6 +58,7 @@
     cleaned: Vec<(JobId, u32)>,
     ledger: bool,
     home: bool,
+    changes: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -100,6 +102,8 @@
     pub deposed: bool,
     pub ends: Vec<JobId>,
     pub read: Vec<JobId>,
+    /// Keys of a write that the service will never take.
+    pub rejected: Option<String>,
 }
 
 /// A kind of machine this many times as dear as the cheapest is not kept ready.
@@ -129,6 +133,8 @@
 const RETURNED_PER_MB: f64 = 40.0;
 /// Bytes of one transaction, of the 64 KiB that the state service takes.
 const TXN_BYTES: usize = 56 * 1024;
+/// Workers' leases for which a write rests that the state service rejected.
+const PARKED_LEASES: Ms = 6;
 /// Orders in one response, to stay under the line limit.
 const ORDERS_MOST: usize = 200;
 
@@ -193,6 +199,14 @@
     /// Encoded size of each part.
     roster_bytes: Vec<usize>,
     roster_dirty: BTreeSet<usize>,
+    /// The part after which the next flush goes on.
+    roster_last: usize,
+    /// Parts that are written only after these others were.
+    roster_waits: BTreeMap<usize, BTreeSet<usize>>,
+    /// Changes in one transaction, fewer once one was rejected.
+    changes_most: usize,
+    /// Keys that were rejected alone, and until when they rest.
+    parked: BTreeMap<String, Ms>,
     stamps: HashMap<String, u64>,
     refresh: BTreeMap<String, bool>,
     cleanup: BTreeSet<(JobId, u32)>,
@@ -262,6 +276,10 @@
             roster: Vec::new(),
             roster_bytes: Vec::new(),
             roster_dirty: BTreeSet::new(),
+            roster_last: 0,
+            roster_waits: BTreeMap::new(),
+            changes_most: usize::MAX,
+            parked: BTreeMap::new(),
             stamps: HashMap::new(),
             refresh: BTreeMap::new(),
             cleanup: BTreeSet::new(),
--- /dev/null
+++ b/crates/basaltrail-core/src/reign/roster.rs
@@ -0,0 +1,162 @@
+//! The roster: which machines may hold tasks. A name leaves it only when its machine is gone
+//! for certain, and no part of it says that nothing runs where something may.
+
+use super::*;
+
+impl Reign {
+    /// Puts a machine on the roster, as one where nothing runs yet.
+    pub(super) fn enroll(&mut self, ctx: &Ctx, machine: &MachineId) {
+        let Some(m) = self.machines.get_mut(machine).filter(|m| m.part.is_none()) else { return };
+        let mut entry = RosterEntry {
+            id: m.id.clone(),
+            machine_type: m.machine_type.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            free: false,
+        };
+        let most = ctx.cfg.value_bytes * 9 / 10;
+        let size = encode(&entry).len() + 1;
+        let part = self
+            .roster_bytes
+            .iter()
+            .position(|bytes| bytes + size <= most)
+            .unwrap_or(self.roster.len());
+        if part == self.roster.len() {
+            self.roster.push(Vec::new());
+            self.roster_bytes.push(2);
+        }
+        entry.free = true;
+        self.roster[part].push(entry);
+        self.roster_bytes[part] += size;
+        self.roster_dirty.insert(part);
+        m.part = Some(part);
+    }
+
+    /// Notes on the roster whether anything may run on a machine. As long as it says that
+    /// nothing does, or may come to say so, nothing is started there: the next leader
+    /// does not wait for a word of it.
+    pub(super) fn note_free(&mut self, machine: &MachineId, free: bool) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(part) = m.part else { return };
+        let entry = self.roster[part].iter_mut().find(|e| e.id == *machine);
+        let Some(entry) = entry.filter(|e| e.free != free) else { return };
+        entry.free = free;
+        m.durable = false;
+        self.roster_dirty.insert(part);
+    }
+
+    /// The machine is gone for certain: its release was answered.
+    pub(super) fn strike(&mut self, ctx: &Ctx, calls: &mut Calls, machine: &MachineId) {
+        let Some(mut m) = self.machines.remove(machine) else { return };
+        let changes = m.lapse();
+        self.apply(ctx, calls, machine, changes);
+        if let Some(part) = m.part {
+            self.roster[part].retain(|e| e.id != *machine);
+            self.roster_bytes[part] = encode(&self.roster[part]).len();
+            self.roster_dirty.insert(part);
+        }
+        self.returned.add(machine);
+        self.changed = true;
+    }
+
+    /// Brings what was read into a form that the limits allow. An earlier version, or limits
+    /// since lowered, may have left parts larger than a value may be now; they are cut before
+    /// anything is added to them. What moves is written in its new place first, and only
+    /// then is the old one overwritten, so that each name is somewhere at any moment; a
+    /// leader that comes in between finds some twice.
+    pub(super) fn mend_roster(&mut self, ctx: &Ctx) {
+        self.join_twice_named();
+        let most = ctx.cfg.value_bytes * 9 / 10;
+        for part in 0..self.roster.len() {
+            if self.roster_bytes[part] <= ctx.cfg.value_bytes {
+                continue;
+            }
+            let mut chunks: Vec<Vec<RosterEntry>> = vec![Vec::new()];
+            let mut bytes = 2;
+            for e in std::mem::take(&mut self.roster[part]) {
+                let size = encode(&RosterEntry { free: false, ..e.clone() }).len() + 1;
+                if bytes + size > most {
+                    chunks.push(Vec::new());
+                    bytes = 2;
+                }
+                bytes += size;
+                if let Some(chunk) = chunks.last_mut() {
+                    chunk.push(e);
+                }
+            }
+            for (n, chunk) in chunks.into_iter().enumerate() {
+                let to = if n == 0 { part } else { self.roster.len() };
+                if n > 0 {
+                    self.roster.push(Vec::new());
+                    self.roster_bytes.push(2);
+                    self.roster_waits.entry(part).or_default().insert(to);
+                    for e in &chunk {
+                        let Some(m) = self.machines.get_mut(&e.id) else { continue };
+                        m.part = Some(to);
+                        m.free_in.extend(e.free.then_some(part));
+                    }
+                }
+                self.roster_bytes[to] = encode(&chunk).len();
+                self.roster[to] = chunk;
+                self.roster_dirty.insert(to);
+            }
+        }
+    }
+
+    /// A name that stands in two parts stays in the first of them, as one that may hold
+    /// something unless both say that it does not.
+    fn join_twice_named(&mut self) {
+        let mut first: HashMap<MachineId, usize> = HashMap::new();
+        let mut twice: Vec<(usize, usize, RosterEntry)> = Vec::new();
+        for (part, entries) in self.roster.iter_mut().enumerate() {
+            entries.retain(|e| match first.get(&e.id) {
+                Some(at) => {
+                    twice.push((*at, part, e.clone()));
+                    false
+                }
+                None => {
+                    first.insert(e.id.clone(), part);
+                    true
+                }
+            });
+        }
+        for (at, part, second) in twice {
+            let Some(e) = self.roster[at].iter_mut().find(|e| e.id == second.id) else { continue };
+            let kept_free = e.free;
+            e.free &= second.free;
+            let free = e.free;
+            if let Some(m) = self.machines.get_mut(&second.id) {
+                (m.accounted, m.expected) = (free, !free);
+                // What is there now may say that nothing runs, in the one part or the other.
+                m.durable = !kept_free && !second.free;
+                m.part = Some(at);
+                m.free_in.extend(kept_free.then_some(at));
+                m.free_in.extend(second.free.then_some(part));
+            }
+            self.roster_dirty.extend([at, part]);
+            if at != part {
+                self.roster_waits.entry(part).or_default().insert(at);
+            }
+            self.roster_bytes[at] = encode(&self.roster[at]).len();
+            self.roster_bytes[part] = encode(&self.roster[part]).len();
+        }
+    }
+
+    /// A part was written: those that waited for it may follow, and what it said before
+    /// stands no more.
+    pub(super) fn roster_written(&mut self, part: usize) {
+        for waits in self.roster_waits.values_mut() {
+            waits.remove(&part);
+        }
+        self.roster_waits.retain(|_, waits| !waits.is_empty());
+        for m in self.machines.values_mut() {
+            if m.free_in.remove(&part) {
+                self.roster_dirty.extend(m.part);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "roster_tests.rs"]
+mod tests;
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -53,6 +53,7 @@
                     self.roster[part] = entries;
                 }
                 if !more {
+                    self.mend_roster(ctx);
                     self.loading = Loading::Done;
                 }
             }
--- a/crates/basaltrail-core/src/reign/writing.rs
+++ b/crates/basaltrail-core/src/reign/writing.rs
@@ -30,8 +30,9 @@
     /// Whether so many changes with so much in them still fit. The first always do.
     fn room(&self, changes: usize, bytes: usize) -> bool {
         let have = self.puts.len() + self.removes.len();
-        have + changes <= self.most
-            && (have == 0 || self.bytes + changes * 2 * Self::FRAME + bytes <= TXN_BYTES)
+        have == 0
+            || (have + changes <= self.most
+                && self.bytes + changes * 2 * Self::FRAME + bytes <= TXN_BYTES)
     }
 
     fn put(&mut self, stamp: u64, key: String, value: String) {
@@ -54,61 +55,6 @@
 }
 
 impl Reign {
-    /// Puts a machine on the roster, as one where nothing runs yet.
-    pub(super) fn enroll(&mut self, ctx: &Ctx, machine: &MachineId) {
-        let Some(m) = self.machines.get_mut(machine).filter(|m| m.part.is_none()) else { return };
-        let mut entry = RosterEntry {
-            id: m.id.clone(),
-            machine_type: m.machine_type.clone(),
-            zone: m.zone.clone(),
-            spot: m.spot,
-            free: false,
-        };
-        let most = ctx.cfg.value_bytes * 9 / 10;
-        let size = encode(&entry).len() + 1;
-        let part = self
-            .roster_bytes
-            .iter()
-            .position(|bytes| bytes + size <= most)
-            .unwrap_or(self.roster.len());
-        if part == self.roster.len() {
-            self.roster.push(Vec::new());
-            self.roster_bytes.push(2);
-        }
-        entry.free = true;
-        self.roster[part].push(entry);
-        self.roster_bytes[part] += size;
-        self.roster_dirty.insert(part);
-        m.part = Some(part);
-    }
-
-    /// Notes on the roster whether anything may run on a machine. As long as it says that
-    /// nothing does, or may come to say so, nothing is started there: the next leader
-    /// does not wait for a word of it.
-    pub(super) fn note_free(&mut self, machine: &MachineId, free: bool) {
-        let Some(m) = self.machines.get_mut(machine) else { return };
-        let Some(part) = m.part else { return };
-        let entry = self.roster[part].iter_mut().find(|e| e.id == *machine);
-        let Some(entry) = entry.filter(|e| e.free != free) else { return };
-        entry.free = free;
-        m.durable = false;
-        self.roster_dirty.insert(part);
-    }
-
-    /// The machine is gone for certain: its release was answered.
-    pub(super) fn strike(&mut self, ctx: &Ctx, calls: &mut Calls, machine: &MachineId) {
-        let Some(mut m) = self.machines.remove(machine) else { return };
-        let changes = m.lapse();
-        self.apply(ctx, calls, machine, changes);
-        if let Some(part) = m.part {
-            self.roster[part].retain(|e| e.id != *machine);
-            self.roster_bytes[part] = encode(&self.roster[part]).len();
-            self.roster_dirty.insert(part);
-        }
-        self.returned.add(machine);
-        self.changed = true;
-    }
-
     pub fn flush(&mut self, ctx: &Ctx, calls: &mut Calls) {
         if self.flush_in_flight
             || !self.loaded()
@@ -126,11 +72,16 @@
         }
         let now = ctx.now;
         let mut f = Flush::default();
-        let mut t = Txn::new((LEADER.to_string(), self.stamp), ctx.cfg.txn_ops.max(2));
+        self.parked.retain(|_, until| *until > now);
+        let most = ctx.cfg.txn_ops.max(2).min(self.changes_most);
+        let mut t = Txn::new((LEADER.to_string(), self.stamp), most);
         let mut paid = |n: f64, class| calls.writes.take(now, n, class);
         for id in &self.complete {
             let Some(j) = self.jobs.get(id).filter(|j| j.ended.is_none()) else { continue };
-            if !ctx.table.active.contains_key(id) || self.unknown.contains(id) {
+            if !ctx.table.active.contains_key(id)
+                || self.unknown.contains(id)
+                || self.parked.contains_key(&active_key(*id))
+            {
                 continue;
             }
             if !t.room(2, 128) || !paid(2.0, Class::Completion) {
@@ -142,25 +93,28 @@
             t.put_end(*id, j.stamp);
         }
         let stamp = |key: &str| self.stamps.get(key).copied().unwrap_or(0);
-        for part in self.roster_dirty.clone() {
+        let shut = |key: &str| self.refresh.contains_key(key) || self.parked.contains_key(key);
+        // In turn: few fit into one transaction, and each has machines that wait for it.
+        let after = self.roster_dirty.range((Excluded(self.roster_last), Unbounded));
+        let order: Vec<usize> =
+            after.chain(self.roster_dirty.range(..=self.roster_last)).copied().collect();
+        for part in order {
             let key = roster_key(part);
-            if self.refresh.contains_key(&key)
+            if shut(&key)
+                || self.roster_waits.get(&part).is_some_and(|w| !w.is_empty())
                 || !t.room(1, self.roster_bytes[part])
                 || !paid(1.0, Class::Door)
             {
                 continue;
             }
             self.roster_dirty.remove(&part);
+            self.roster_last = part;
             let may_hold = self.roster[part].iter().filter(|e| !e.free);
             f.roster.push((part, may_hold.map(|e| e.id.clone()).collect()));
             f.keys.push(key.clone());
             t.put(stamp(&key), key, encode(&self.roster[part]));
         }
-        if self.ledger_due
-            && !self.refresh.contains_key(LEDGER)
-            && t.room(1, 4096)
-            && paid(1.0, Class::Completion)
-        {
+        if self.ledger_due && !shut(LEDGER) && t.room(1, 4096) && paid(1.0, Class::Completion) {
             self.ledger_due = false;
             f.ledger = true;
             let leases_end = ctx.wall + (ctx.cfg.policy.lease_term_s * 1000.0) as WallMs;
@@ -170,11 +124,7 @@
             let record = self.ledger.record(ctx.cfg, leases_end, suspects);
             t.put(stamp(LEDGER), LEDGER.into(), encode(&record));
         }
-        if self.home_due
-            && !self.refresh.contains_key(HOME)
-            && t.room(1, 256)
-            && paid(1.0, Class::Rest)
-        {
+        if self.home_due && !shut(HOME) && t.room(1, 256) && paid(1.0, Class::Rest) {
             self.home_due = false;
             f.home = true;
             f.keys.push(HOME.into());
@@ -198,7 +148,7 @@
                 }
                 for part in j.dirty.clone() {
                     let key = done_key(id, part);
-                    if self.refresh.contains_key(&key) {
+                    if self.refresh.contains_key(&key) || self.parked.contains_key(&key) {
                         continue;
                     }
                     let text = j.done.part(part);
@@ -230,7 +180,8 @@
             f.cleaned.push((job, part));
         }
         let Txn { conds, puts, removes, .. } = t;
-        if puts.is_empty() && removes.is_empty() {
+        f.changes = puts.len() + removes.len();
+        if f.changes == 0 {
             return;
         }
         if !calls.pay(now, Class::Completion) {
@@ -263,6 +214,7 @@
         let mut out = Flushed::default();
         match reply {
             StateReply::Committed { revision } => {
+                self.changes_most = self.changes_most.saturating_mul(2);
                 for key in f.keys {
                     self.stamps.insert(key, revision);
                 }
@@ -272,10 +224,12 @@
                     }
                 }
                 for (part, ids) in f.roster {
+                    self.roster_written(part);
                     let still: HashSet<&MachineId> =
                         self.roster[part].iter().filter(|e| !e.free).map(|e| &e.id).collect();
                     for id in ids.iter().filter(|id| still.contains(id)) {
-                        if let Some(m) = self.machines.get_mut(id) {
+                        if let Some(m) = self.machines.get_mut(id).filter(|m| m.free_in.is_empty())
+                        {
                             self.changed |= !m.durable;
                             m.durable = true;
                         }
@@ -292,6 +246,21 @@
                 }
                 self.undo(ctx, f);
             }
+            StateReply::Rejected => {
+                // Written again as it is, it would be rejected for ever, and nothing after it
+                // would be written: fewer changes at once, and what is rejected alone rests.
+                self.changes_most = (f.changes / 2).max(1);
+                if f.changes <= 1 || (f.ends.len() == 1 && f.keys.is_empty()) {
+                    let until = ctx.now + ctx.cfg.lease_ms * PARKED_LEASES;
+                    let ends = f.ends.iter().map(|j| active_key(*j));
+                    let keys: Vec<String> = f.keys.iter().cloned().chain(ends).collect();
+                    out.rejected = Some(keys.join(","));
+                    self.parked.extend(keys.into_iter().map(|k| (k, until)));
+                    f.cleaned.clear();
+                }
+                self.undo(ctx, f);
+                self.flush_not_before = ctx.now + ctx.cfg.report_ms / 4;
+            }
             StateReply::Refused => {
                 self.undo(ctx, f);
                 self.flush_not_before = ctx.now + ctx.cfg.report_ms / 4;
--- a/crates/basaltrail-core/tests/simulation/nodes.rs
+++ b/crates/basaltrail-core/tests/simulation/nodes.rs
@@ -35,6 +35,13 @@
                     let unknown = Input::State { op, reply: StateReply::Unknown };
                     self.send(self.t + timeout_ms, i, epoch, Msg::Input(unknown));
                     let mut at = goes + self.delay();
+                    if let StateOp::Txn { conds, puts, removes } = &call {
+                        let (value, ops) = self.nodes[i].limits;
+                        let large = puts.iter().any(|p| p.value.len() > value);
+                        if large || puts.len() + removes.len() > ops || conds.len() > ops * 4 {
+                            self.rule(format!("node {i} wrote beyond its limits: {call:?}"));
+                        }
+                    }
                     // A transaction is carried out twice; nobody hears of the second.
                     if matches!(call, StateOp::Txn { .. }) && self.copied() {
                         let at = self.t + self.rng.random_range(5..30_000);
@@ -108,6 +115,9 @@
             }
         }
         let reply = if down { StateReply::Refused } else { self.store.carry_out(self.t, &call) };
+        if reply == StateReply::Rejected {
+            self.rule(format!("wrote more than the service takes: {call:?}"));
+        }
         if op == OpId(u64::MAX) && matches!(reply, StateReply::Committed { .. }) {
             self.meet("late write won");
         } else if op == OpId(u64::MAX) && matches!(reply, StateReply::Conflict { .. }) {
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -78,6 +78,9 @@
     news_held: bool,
     /// Watches that are never answered.
     hung: Vec<OpId>,
+    /// A key whose writes the service rejects for good, and how many it has.
+    rejects: Option<String>,
+    rejected: u32,
     log: Vec<(String, u64, Option<String>)>,
     req: u64,
     out: Vec<String>,
@@ -98,6 +101,8 @@
             watches: Vec::new(),
             news_held: false,
             hung: Vec::new(),
+            rejects: None,
+            rejected: 0,
             log: Vec::new(),
             req: 0,
             out: Vec::new(),
@@ -139,6 +144,10 @@
                 revision: self.revision,
             },
             StateOp::Txn { conds, puts, removes } => {
+                if puts.iter().any(|p| self.rejects.as_ref() == Some(&p.key)) {
+                    self.rejected += 1;
+                    return StateReply::Rejected;
+                }
                 let stamp = |k: &String| self.keys.get(k).map_or(0, |v| v.1);
                 let failed: Vec<String> =
                     conds.iter().filter(|(k, s)| stamp(k) != *s).map(|(k, _)| k.clone()).collect();
@@ -347,6 +356,11 @@
                 self.state =
                     ["up", "refusing", "silent"].into_iter().find(|s| *s == words[1]).unwrap();
             }
+            "reject" => self.rejects = Some(words[1].into()),
+            "rejected" => {
+                let most = words[1].parse().unwrap();
+                assert!((1..=most).contains(&self.rejected), "{} rejected", self.rejected);
+            }
             "news" => self.news_held = words[1] == "held",
             "watch" => {
                 let jobs = self.watches.iter().filter(|w| w.1 == records::JOBS);
@@ -477,4 +491,5 @@
     watch_that_hangs
     successor_with_old_news
     stop_goes_out_with_every_answer
+    rejected_write_rests
 }
--- a/crates/basaltrail-protocol/src/state.rs
+++ b/crates/basaltrail-protocol/src/state.rs
@@ -134,7 +134,8 @@
     match status {
         200 | 404 | 409 | 410 => {}
         // The service says that it did not carry these out.
-        400 | 429 | 503 => return Ok(StateReply::Refused),
+        429 | 503 => return Ok(StateReply::Refused),
+        400 => return Ok(StateReply::Rejected),
         _ => return Ok(StateReply::Unknown),
     }
     Ok(match (op, status) {
