Services: replicas that run until their job is cancelled

kind of a job (array, service), stored as an addition; 422 when all replicas need more than the limit; never done; a replica that ends runs again as a new attempt. Replicas go before the ranking, on different machines, ordinary ones first; room for two of the largest of each class of late is held ready; a silent machine with replicas is released after 3.5 missed reports where nearly all others are heard, so that the answer proves it gone.

--- a/crates/basaltrail-core/src/frontdoor.rs
+++ b/crates/basaltrail-core/src/frontdoor.rs
@@ -62,8 +62,10 @@
 pub fn impossible(s: &Settings, types: &[MachineType], spec: &JobSpec) -> Option<&'static str> {
     let Some(team) = s.team(&spec.team) else { return Some("unknown team") };
     let t = &s.teams[team];
-    if spec.cpus > t.cpus_max + 1e-9 || spec.gpus > t.gpus_max + 1e-9 {
-        return Some("a task needs more than the team's limit");
+    // The replicas of a service run all at once, and for good.
+    let at_once = if spec.is_service() { spec.tasks as f64 } else { 1.0 };
+    if spec.cpus * at_once > t.cpus_max + 1e-9 || spec.gpus * at_once > t.gpus_max + 1e-9 {
+        return Some("the job needs more than the team's limit");
     }
     if !types.iter().any(|m| m.allowed(spec) && m.holds(spec) > 0) {
         return Some("a task fits no allowed machine type");
--- a/crates/basaltrail-core/src/jobs.rs
+++ b/crates/basaltrail-core/src/jobs.rs
@@ -120,7 +120,16 @@
     }
 
     pub fn complete(&self) -> bool {
-        self.done.count() >= self.spec.tasks
+        !self.spec.is_service() && self.done.count() >= self.spec.tasks
+    }
+
+    /// Tasks that may be placed beside those that are. A service that fails everywhere tries
+    /// one replica at a time, whatever of it runs.
+    pub fn room(&self) -> u32 {
+        match self.spec.is_service() {
+            true => self.health.room(0),
+            false => self.health.room(self.placed.len()),
+        }
     }
 
     /// Tasks neither done nor anywhere.
@@ -134,7 +143,7 @@
 
     /// Tasks for which it may have room now, those that have it included.
     pub fn wanted(&self) -> u32 {
-        self.placed.len() as u32 + self.pending().min(self.health.room(self.placed.len()))
+        self.placed.len() as u32 + self.pending().min(self.room())
     }
 
     pub fn next_pending(&mut self) -> Option<u32> {
@@ -170,7 +179,8 @@
     }
 
     pub fn mark_done(&mut self, task: u32) -> bool {
-        if task < self.spec.tasks && self.done.set(task) {
+        let ends = !self.spec.is_service() && task < self.spec.tasks;
+        if ends && self.done.set(task) {
             self.dirty.insert(task / PART);
             return true;
         }
--- a/crates/basaltrail-core/src/model.rs
+++ b/crates/basaltrail-core/src/model.rs
@@ -66,9 +66,28 @@
     Production,
 }
 
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobKind {
+    /// Independent tasks, each of which runs to completion.
+    #[default]
+    #[serde(rename = "a")]
+    Array,
+    /// Its tasks are replicas that run until the job is cancelled.
+    #[serde(rename = "s")]
+    Service,
+}
+
+impl JobKind {
+    fn is_array(&self) -> bool {
+        *self == JobKind::Array
+    }
+}
+
 /// What a user asked for; kept durably while the job is active.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
+    #[serde(default, skip_serializing_if = "JobKind::is_array")]
+    pub kind: JobKind,
     pub class: String,
     pub team: String,
     pub priority: Priority,
@@ -98,6 +117,12 @@
     pub deadline_s: Option<f64>,
 }
 
+impl JobSpec {
+    pub fn is_service(&self) -> bool {
+        self.kind == JobKind::Service
+    }
+}
+
 /// How a job ended; never changes once durable.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Final {
--- a/crates/basaltrail-core/src/placement.rs
+++ b/crates/basaltrail-core/src/placement.rs
@@ -100,7 +100,9 @@
         let t = &types[r.type_index];
         // The cheaper machine first: the dearer one comes idle and goes back.
         let price = if r.spot { t.spot_price } else { t.price };
-        if job.checkpoint_s > 0.0 {
+        if job.is_service() && r.spot {
+            score -= 4.0 * n as f64;
+        } else if job.checkpoint_s > 0.0 {
             score *= t.spot_price.min(t.price).max(1e-9) / price.max(1e-9);
         } else if r.spot {
             score -= 0.2 * n as f64;
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -24,6 +24,7 @@
 mod reports;
 mod returning;
 mod roster;
+mod standing;
 mod takeover;
 mod writing;
 
@@ -242,6 +243,8 @@
     reserved: BTreeMap<JobId, Ms>,
     /// Jobs that can still be in time, with the seconds that each can lose.
     reach: HashMap<JobId, f64>,
+    /// The largest service of each class of late.
+    shapes: BTreeMap<String, standing::Shape>,
     rental: Rental,
     returned: Recent,
     /// Jobs that workers told of and the table does not hold.
@@ -303,6 +306,7 @@
             wake_at: Ms::MAX,
             reserved: BTreeMap::new(),
             reach: HashMap::new(),
+            shapes: BTreeMap::new(),
             rental: Rental::default(),
             returned: Recent::new((ctx.cfg.memory_mb * RETURNED_PER_MB) as usize),
             unknown: BTreeSet::new(),
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 /// What a pass over all machines found, for those that report before the next one.
+#[derive(Default)]
 pub(super) struct Pass {
     /// By team, as ranked; those that found room since are still among them.
     waiting: Vec<Vec<JobId>>,
@@ -12,6 +13,9 @@
     /// kept for the first of them.
     unbegun: Vec<JobId>,
     held: Option<MachineId>,
+    /// Services that go before the ranking, and the room that is kept for more.
+    pressing: Vec<JobId>,
+    ready: standing::Ready,
 }
 
 impl Reign {
@@ -111,7 +115,18 @@
             let mut open: BTreeMap<Reverse<Priority>, Vec<Candidate>> = BTreeMap::new();
             let (mut cpus, mut work) = (0.0, 0.0);
             let open_here = |j: &&RunJob| j.team == team && j.ended.is_none();
+            let (mut standing, mut missing) = (0.0, 0.0);
             for j in self.jobs.values().filter(open_here).filter(|j| !j.health.suspect()) {
+                if j.spec.is_service() {
+                    // It has no end and no date: what of it is missing is late already, and
+                    // what runs is no work that ends and leaves its room.
+                    standing += j.placed.len() as f64 * j.spec.cpus;
+                    if j.pending() > 0 {
+                        missing += j.pending() as f64 * j.spec.cpus;
+                        reach.insert(j.id, 0.0);
+                    }
+                    continue;
+                }
                 let need = j.pending() as f64 * j.spec.cpus;
                 let all = need + j.placed.len() as f64 * j.spec.cpus;
                 cpus += all;
@@ -126,8 +141,8 @@
                 false => Ledger::quota(ctx.cfg, team, self.fleet_cpus),
             };
             let share = share.max(*used);
-            let per_s = share * cpus / work.max(1.0);
-            let mut at_once = share - used;
+            let per_s = (share - standing).max(0.0) * cpus / work.max(1.0);
+            let mut at_once = share - used - missing;
             for (_, candidates) in open {
                 let need: f64 = candidates.iter().map(|c| c.need).sum();
                 reach.extend(in_reach(candidates, at_once, per_s));
@@ -187,6 +202,22 @@
                 }
             }
         }
+        // A replica is missed from the first second, an array by its date.
+        let pressing: Vec<(usize, JobId)> = waiting
+            .iter()
+            .enumerate()
+            .flat_map(|(team, ids)| ids.iter().map(move |id| (team, *id)))
+            .filter(|(_, id)| self.pressing(id))
+            .collect();
+        for (team, id) in &pressing {
+            while self.jobs.get(id).is_some_and(|j| j.pending() > 0)
+                && self.grant_one(ctx, *id, u32::MAX, &mut rooms, &mut used, rng)
+            {}
+            if self.jobs.get(id).is_none_or(|j| j.pending() == 0) {
+                waiting[*team].retain(|j| j != id);
+            }
+        }
+        let ready = self.stand_by(ctx, &mut rooms);
         // A large array may rank behind others for as long as more comes than can be done:
         // one that has waited this long gets its first task before the ranking.
         let mut unbegun: Vec<(WallMs, JobId, usize)> = waiting
@@ -197,8 +228,7 @@
             .map(|j| (j.at, j.id, j.team))
             .collect();
         unbegun.sort();
-        let mut pass =
-            Pass { waiting: Vec::new(), used: Vec::new(), unbegun: Vec::new(), held: None };
+        let mut pass = Pass { unbegun: Vec::new(), ..Pass::default() };
         // One task of a job that fails everywhere costs the others next to nothing, and
         // shows when its mistake is gone.
         tries.retain(|id| !self.grant_one(ctx, *id, 1, &mut rooms, &mut used, rng));
@@ -218,6 +248,8 @@
                 waiting[team].retain(|j| *j != id);
             }
         }
+        pass.ready = ready;
+        pass.pressing = pressing.into_iter().map(|(_, id)| id).collect();
         pass.unbegun.append(&mut tries);
         pass.waiting.clone_from(&waiting);
         loop {
@@ -258,6 +290,15 @@
         self.visited += 1;
         let mut rooms = vec![room];
         let mut used = std::mem::take(&mut pass.used);
+        for id in pass.pressing.clone() {
+            if self.may_start(ctx, &id) {
+                self.grant_one(ctx, id, u32::MAX, &mut rooms, &mut used, rng);
+            }
+        }
+        if let Some(room) = rooms.first_mut() {
+            pass.ready.keep(ctx.types, room);
+        }
+        rooms.retain(|r| r.cpus > 1e-9);
         for id in &pass.unbegun {
             if self.may_start(ctx, id) {
                 self.grant_one(ctx, *id, 1, &mut rooms, &mut used, rng);
@@ -415,7 +456,7 @@
         let want = self.limit_room(ctx, id, used).min(most);
         let need = self.need(id);
         let Some(j) = self.jobs.get_mut(&id).filter(|_| want > 0) else { return 0 };
-        let want = want.min(j.health.room(j.placed.len()));
+        let want = want.min(j.room()).min(if j.spec.is_service() { 1 } else { u32::MAX });
         let mut spread = Spread::default();
         if j.spec.one_zone || j.spec.spread {
             for m in self.machines.values() {
@@ -429,10 +470,19 @@
         let image = |m: &MachineId| machines.get(m).is_some_and(|m| m.has_image(&j.spec.image));
         let sample = ctx.cfg.policy.sample;
         let avoid = |m: &MachineId| j.health.avoids(m, ctx.now);
-        let wish = Wish { job: &j.spec, spread: &spread, want, avoid: &avoid };
-        let Some((at, n)) = choose(rooms, ctx.types, &wish, sample, image, rng) else {
-            return 0;
+        // Replicas stand on different machines where there are any: a machine lost takes one.
+        let beside: BTreeSet<&MachineId> = match j.spec.is_service() {
+            true => j.placed.values().map(|(m, _)| m).collect(),
+            false => BTreeSet::new(),
         };
+        let apart = |m: &MachineId| avoid(m) || beside.contains(m);
+        let wish = Wish { job: &j.spec, spread: &spread, want, avoid: &apart };
+        let mut found = choose(rooms, ctx.types, &wish, sample, image, rng);
+        if found.is_none() && !beside.is_empty() {
+            let wish = Wish { avoid: &avoid, ..wish };
+            found = choose(rooms, ctx.types, &wish, sample, image, rng);
+        }
+        let Some((at, n)) = found else { return 0 };
         let machine = rooms[at].machine.clone();
         let Some(m) = self.machines.get_mut(&machine) else { return 0 };
         let mut placed = 0;
@@ -458,6 +508,10 @@
             );
             placed += 1;
         }
+        if j.spec.is_service() && j.health.suspect() {
+            // The next try waits for what becomes of this one.
+            j.health.pause(ctx.now + ctx.cfg.lease_ms);
+        }
         m.idle_since = None;
         used[j.team].0 += j.spec.cpus * placed as f64;
         used[j.team].1 += j.spec.gpus * placed as f64;
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -9,7 +9,9 @@
     fn demand(&self, ctx: &Ctx) -> Vec<Demand> {
         let mut out = vec![Demand::default(); ctx.types.len()];
         let mut left: Vec<f64> = ctx.cfg.teams.iter().map(|t| t.cpus_max).collect();
-        for j in self.jobs.values().filter(|j| j.ended.is_none()) {
+        // Services are counted apart, see `standing`.
+        let ends = |j: &&RunJob| j.ended.is_none() && !j.spec.is_service();
+        for j in self.jobs.values().filter(ends) {
             let price = |t: &MachineType| t.price / t.holds(&j.spec) as f64;
             let fit = ctx.types.iter().enumerate();
             let fit = fit.filter(|(_, t)| t.allowed(&j.spec) && t.holds(&j.spec) > 0);
@@ -40,7 +42,8 @@
                 && ty.holds(s) > 0
         };
         let mut most = 0;
-        for j in self.jobs.values().filter(|j| j.pending() > 0 && wishes(&j.spec)) {
+        let waits = |j: &&RunJob| j.pending() > 0 && !j.spec.is_service();
+        for j in self.jobs.values().filter(waits).filter(|j| wishes(&j.spec)) {
             if !fits_kind(&j.spec, t, &kind.zone, kind.spot) {
                 continue;
             }
@@ -151,8 +154,17 @@
         }
         let count = |name: &str| have.get(name).copied().unwrap_or(0);
         let kinds = self.rental.kinds(ctx.types, |_| 0);
-        let lacking: BTreeMap<Kind, usize> =
-            kinds.into_iter().map(|k| (k.clone(), self.lacking(ctx, &live, &k))).collect();
+        let standing: BTreeMap<Kind, usize> =
+            kinds.iter().map(|k| (k.clone(), self.standing(ctx, k))).collect();
+        let standing = |k: &Kind| standing.get(k).copied().unwrap_or(0);
+        let lacking: BTreeMap<Kind, usize> = kinds
+            .into_iter()
+            .map(|k| {
+                let services = standing(&k).saturating_sub(fleet.get(&k).copied().unwrap_or(0));
+                let lacking = self.lacking(ctx, &live, &k).max(services);
+                (k, lacking)
+            })
+            .collect();
         while self.rental.pending.len() < RENTALS_MOST {
             let coming = |k: &Kind| self.rental.asked(|o| o == k);
             let all = |k: &Kind| fleet.get(k).copied().unwrap_or(0) + coming(k);
@@ -210,6 +222,8 @@
                 ctx.now
             }
         };
+        let replicas: BTreeSet<MachineId> =
+            self.machines.values().filter(|m| self.has_replicas(m)).map(|m| m.id.clone()).collect();
         for w in &wants {
             // Dearer machines take no more work once renting half of them would not pay.
             let boot_ms =
@@ -224,7 +238,11 @@
                 if !m.empty() || m.last_checkin.is_none() {
                     m.idle_since = None;
                 }
-                let up = m.last_checkin.is_some() && m.returning == Returning::No;
+                let (machine_type, zone) = (m.machine_type.clone(), m.zone.clone());
+                let kind = Kind { machine_type, zone, spot: m.spot };
+                let have = fleet.entry(kind.clone()).or_default();
+                let kept = *have <= standing(&kind) || replicas.contains(&m.id);
+                let up = m.last_checkin.is_some() && m.returning == Returning::No && !kept;
                 let idle =
                     up && m.empty() && ctx.now >= *m.idle_since.get_or_insert(ctx.now) + idle_ms;
                 let why = if idle && spare > 0 {
@@ -236,6 +254,7 @@
                 };
                 spare = spare.saturating_sub(1);
                 surplus = surplus.saturating_sub(1);
+                *have -= 1;
                 m.returning = Returning::Draining;
                 calls.log(Level::Info, "machine_drain", format!("machine={} why={why}", m.id));
             }
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -58,6 +58,7 @@
             }
             Change::Exited { task, attempt, why, ran_ms } => {
                 self.changed = true;
+                let stands = self.service_stands(ctx, task);
                 let need = self.need(task.job);
                 let m = self.machines.get_mut(machine)?;
                 if let Some(e) = m.entries.get_mut(&(task, attempt)) {
@@ -68,7 +69,9 @@
                     return None;
                 };
                 let mut failed_before = BTreeSet::new();
-                if why == Why::Done {
+                let service = j.spec.is_service();
+                let lasted = ran_ms.is_some_and(|ran| ran >= ctx.cfg.lease_ms);
+                if why == Why::Done && !service {
                     if j.mark_done(task.index) {
                         self.unwritten.insert(task.job);
                     }
@@ -78,12 +81,18 @@
                     failed_before = j.health.ended_well(machine);
                     m.health.ended_well();
                 }
+                if service && (lasted || stands) {
+                    // What has run for long, here or elsewhere, is not the service's fault.
+                    failed_before = j.health.ended_well(machine);
+                }
                 let ours = j.free(task.index, machine, attempt);
                 if !ours || j.ended.is_some() {
                     return None;
                 }
                 match why {
-                    Why::Error => {
+                    // A replica that is done at once fails, too: it would start without end.
+                    Why::Done if !service || lasted => {}
+                    Why::Error | Why::Done => {
                         let first = j.health.failed(machine, now, ctx.cfg.lease_ms);
                         if j.health.proven() {
                             m.health.blame(task.job, now);
@@ -230,6 +239,11 @@
             let Some(need) = e.need else { continue };
             let ran_s = e.running_since.map_or(0.0, |t| (now - t) as f64 / 1000.0);
             let run_s = self.jobs.get(&task.job).map_or(0.0, |j| j.spec.estimate_s);
+            if self.jobs.get(&task.job).is_some_and(|j| j.spec.is_service()) {
+                // It runs until it is lost: moved now, it is away for a moment.
+                e.stop = Some(0.0);
+                continue;
+            }
             e.stop = match need.save_s {
                 Some(save) => Some(save + 1.0),
                 // Estimates are often too high: in doubt it may go on.
@@ -270,7 +284,11 @@
                 Place::Told(TaskState::Exited(why)) => {
                     let durable = match self.jobs.get(&task.job) {
                         Some(j) => {
-                            j.ended.is_some() || why != Why::Done || j.durable.get(task.index)
+                            // That a replica is done is nowhere kept.
+                            j.ended.is_some()
+                                || why != Why::Done
+                                || j.spec.is_service()
+                                || j.durable.get(task.index)
                         }
                         None => ctx.table.ended(task.job).is_some(),
                     };
--- a/crates/basaltrail-core/src/reign/returning.rs
+++ b/crates/basaltrail-core/src/reign/returning.rs
@@ -26,6 +26,7 @@
             zone.0 += 1;
             zone.1 += unheard(m) as usize;
         }
+        let given_up = self.silent_with_replicas(ctx);
         let late = ctx.now > self.since.max(woke) + ctx.cfg.lease_ms / 2;
         let few = |zone: &str| late && zones.get(zone).is_some_and(|(n, s)| s * UNHEARD_FEW <= *n);
         let mut go = Vec::new();
@@ -44,6 +45,8 @@
                 && m.last_checkin.is_some_and(|t| ctx.now > t.max(woke) + ctx.cfg.report_ms);
             let why = if taken {
                 "taken"
+            } else if given_up.contains(&m.id) {
+                "replicas silent"
             } else if unheard(m) && few(&m.zone) {
                 "unheard"
             } else if up && m.returning != Returning::No && m.empty() && !m.notice(ctx.now) {
--- /dev/null
+++ b/crates/basaltrail-core/src/reign/standing.rs
@@ -0,0 +1,207 @@
+//! Services: replicas that run until their job is cancelled, and the room that is held ready
+//! for them.
+
+use super::*;
+use std::sync::Arc;
+
+/// Services of each class for which room is held ready: one that comes, and one that lost
+/// its machines.
+const READY: u32 = 2;
+/// Workers' leases for which a class of services is remembered.
+const REMEMBERED_LEASES: Ms = 30;
+/// Classes remembered at the most.
+const CLASSES_MOST: usize = 16;
+/// Reports that a machine with replicas misses before it is given up, in halves.
+const MISSED_HALVES: Ms = 7;
+
+/// The largest service of a class of late.
+pub(super) struct Shape {
+    spec: Arc<JobSpec>,
+    until: Ms,
+}
+
+impl Shape {
+    /// Replicas that one zone may have to take.
+    fn in_zone(&self, zones: usize) -> u32 {
+        match self.spec.one_zone || zones < 2 {
+            true => self.spec.tasks,
+            false => self.spec.tasks.div_ceil(2),
+        }
+    }
+}
+
+/// Room held ready in a pass.
+#[derive(Default)]
+pub(super) struct Ready {
+    /// By machine: CPUs, GPUs, memory.
+    held: BTreeMap<MachineId, (f64, f64, f64)>,
+    /// What found no room, by zone.
+    short: Vec<(String, Arc<JobSpec>, u32)>,
+}
+
+impl Ready {
+    fn hold(&mut self, room: &mut Room, spec: &JobSpec, n: u32) {
+        let held = self.held.entry(room.machine.clone()).or_default();
+        let n = f64::from(n);
+        *held = (held.0 + spec.cpus * n, held.1 + spec.gpus * n, held.2 + spec.memory_gb * n);
+        room.cpus -= spec.cpus * n;
+        room.gpus -= spec.gpus * n;
+        room.memory_gb -= spec.memory_gb * n;
+    }
+
+    /// Leaves of a machine's room what is not held ready, and holds what was short.
+    pub(super) fn keep(&mut self, types: &[MachineType], room: &mut Room) {
+        if let Some((cpus, gpus, memory_gb)) = self.held.get(&room.machine) {
+            room.cpus -= cpus;
+            room.gpus -= gpus;
+            room.memory_gb -= memory_gb;
+        }
+        let mut short = std::mem::take(&mut self.short);
+        for (zone, spec, missing) in &mut short {
+            if *zone == room.zone && may_use(types, room, spec) {
+                let n = room.holds(spec).min(*missing);
+                self.hold(room, spec, n);
+                *missing -= n;
+            }
+        }
+        short.retain(|(_, _, missing)| *missing > 0);
+        self.short = short;
+    }
+}
+
+fn may_use(types: &[MachineType], room: &Room, spec: &JobSpec) -> bool {
+    (spec.spot || !room.spot)
+        && spec.zone.as_deref().is_none_or(|z| z == room.zone)
+        && types[room.type_index].allowed(spec)
+}
+
+impl Reign {
+    pub(super) fn note_shape(&mut self, ctx: &Ctx, spec: &Arc<JobSpec>) {
+        if !spec.is_service() {
+            return;
+        }
+        let until = ctx.now + REMEMBERED_LEASES * ctx.cfg.lease_ms;
+        let size = |s: &JobSpec| s.cpus * f64::from(s.tasks);
+        self.shapes.retain(|_, s| s.until > ctx.now);
+        if let Some(s) = self.shapes.get_mut(&spec.class) {
+            s.until = until;
+            if size(spec) > size(&s.spec) {
+                s.spec = spec.clone();
+            }
+        } else if self.shapes.len() < CLASSES_MOST {
+            self.shapes.insert(spec.class.clone(), Shape { spec: spec.clone(), until });
+        }
+    }
+
+    /// Whether another replica of this service has run for a while: its failure here is then
+    /// not the service's.
+    pub(super) fn service_stands(&self, ctx: &Ctx, task: TaskId) -> bool {
+        let Some(j) = self.jobs.get(&task.job).filter(|j| j.spec.is_service()) else {
+            return false;
+        };
+        let others = j.placed.iter().filter(|(index, _)| **index != task.index);
+        others.take(16).any(|(index, (machine, attempt))| {
+            let key = (TaskId { job: task.job, index: *index }, *attempt);
+            let e = self.machines.get(machine).and_then(|m| m.entries.get(&key));
+            e.and_then(|e| e.running_since).is_some_and(|t| ctx.now >= t + ctx.cfg.lease_ms / 2)
+        })
+    }
+
+    /// Services whose replicas go before the ranking: they are missed from the first second.
+    pub(super) fn pressing(&self, id: &JobId) -> bool {
+        self.jobs.get(id).is_some_and(|j| j.spec.is_service() && j.spec.priority >= Priority::High)
+    }
+
+    /// Holds room ready on the machines that have some.
+    pub(super) fn stand_by(&self, ctx: &Ctx, rooms: &mut Vec<Room>) -> Ready {
+        let mut ready = Ready::default();
+        for shape in self.shapes.values().filter(|s| s.until > ctx.now) {
+            for zone in &ctx.cfg.zones {
+                if shape.spec.zone.as_ref().is_some_and(|z| z != zone) {
+                    continue;
+                }
+                let mut missing = shape.in_zone(ctx.cfg.zones.len()) * READY;
+                for room in rooms.iter_mut().filter(|r| r.zone == *zone) {
+                    if missing > 0 && may_use(ctx.types, room, &shape.spec) {
+                        let n = room.holds(&shape.spec).min(missing);
+                        if n > 0 {
+                            ready.hold(room, &shape.spec, n);
+                            missing -= n;
+                        }
+                    }
+                }
+                if missing > 0 {
+                    ready.short.push((zone.clone(), shape.spec.clone(), missing));
+                }
+            }
+        }
+        rooms.retain(|r| r.cpus > 1e-9);
+        ready
+    }
+
+    /// Machines of a kind that the services need, with what is held ready for more of them.
+    pub(super) fn standing(&self, ctx: &Ctx, kind: &Kind) -> usize {
+        let Some(t) = ctx.types.iter().find(|t| t.name == kind.machine_type) else { return 0 };
+        // Where ordinary ones may serve they do: a spot machine taken back takes a replica.
+        if kind.spot {
+            return 0;
+        }
+        let zones = t.zones.len().max(1);
+        let cheapest = |s: &JobSpec| {
+            let fit = ctx.types.iter().filter(|t| t.allowed(s) && t.holds(s) > 0);
+            let price = |t: &&MachineType| t.price / f64::from(t.holds(s));
+            fit.min_by(|a, b| price(a).total_cmp(&price(b))).is_some_and(|c| c.name == t.name)
+        };
+        let here = |s: &JobSpec| s.zone.as_ref().is_none_or(|z| *z == kind.zone) && cheapest(s);
+        let part = |s: &JobSpec, n: u32| match s.zone.is_some() {
+            true => f64::from(n),
+            false => f64::from(n) / zones as f64,
+        };
+        let running = self
+            .jobs
+            .values()
+            .filter(|j| j.ended.is_none() && j.spec.is_service() && here(&j.spec))
+            .map(|j| part(&j.spec, j.wanted()) / f64::from(t.holds(&j.spec)));
+        let shapes = self.shapes.values().filter(|s| s.until > ctx.now && here(&s.spec));
+        let held =
+            shapes.map(|s| f64::from(s.in_zone(zones) * READY) / f64::from(t.holds(&s.spec)));
+        running.chain(held).sum::<f64>().ceil() as usize
+    }
+
+    fn any_service(&self) -> bool {
+        self.jobs.values().any(|j| j.spec.is_service())
+    }
+
+    pub(super) fn has_replicas(&self, m: &Machine) -> bool {
+        if !self.any_service() {
+            return false;
+        }
+        let service = |t: &TaskId| self.jobs.get(&t.job).is_some_and(|j| j.spec.is_service());
+        m.entries.iter().any(|((t, _), e)| e.holds() && service(t))
+    }
+
+    /// Machines with replicas that have missed some reports, by zone only where nearly all
+    /// others are heard: more is a cut, of theirs or of ours. The answer to their release
+    /// proves that they are gone, long before their lease would.
+    pub(super) fn silent_with_replicas(&self, ctx: &Ctx) -> BTreeSet<MachineId> {
+        if !self.any_service() {
+            return BTreeSet::new();
+        }
+        let silent = |m: &Machine, after: Ms| {
+            m.last_checkin.is_some_and(|t| ctx.now > t.max(self.woke) + after)
+        };
+        let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| m.last_checkin.is_some() && !m.lapsed) {
+            let zone = zones.entry(&m.zone).or_default();
+            zone.0 += 1;
+            zone.1 += silent(m, ctx.cfg.report_ms * 2) as usize;
+        }
+        let few = |zone: &str| {
+            zones.get(zone).is_some_and(|(n, s)| s < n && s * UNHEARD_FEW <= *n.max(&UNHEARD_FEW))
+        };
+        let after = ctx.cfg.report_ms * MISSED_HALVES / 2;
+        let lost =
+            |m: &&Machine| !m.lapsed && silent(m, after) && few(&m.zone) && self.has_replicas(m);
+        self.machines.values().filter(lost).map(|m| m.id.clone()).collect()
+    }
+}
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -107,6 +107,9 @@
         let suspect = self.inherited.contains(&job);
         let Some(j) = self.jobs.get_mut(&job) else { return };
         for (part, text) in self.loaded_done.remove(&job).unwrap_or_default() {
+            if j.spec.is_service() {
+                break; // it is never done, whatever stands there
+            }
             j.done.add_part(part, &text);
             j.durable.add_part(part, &text);
             j.parts.insert(part);
@@ -126,6 +129,7 @@
                 j.stamp = a.stamp;
             } else {
                 self.jobs.insert(job, RunJob::new(job, team, a));
+                self.note_shape(ctx, &a.spec);
                 if self.loaded() {
                     self.apply_loaded(job);
                 }
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -168,7 +168,7 @@
 #[cfg(test)]
 pub(crate) mod sample {
     use super::*;
-    use crate::model::{MachineType, Priority};
+    use crate::model::{JobKind, MachineType, Priority};
 
     pub(crate) fn settings() -> Settings {
         Settings {
@@ -197,6 +197,7 @@
 
     pub(crate) fn a_job(tasks: u32, spot: bool) -> JobSpec {
         JobSpec {
+            kind: JobKind::Array,
             class: "c".into(),
             team: "t".into(),
             priority: Priority::Low,
--- a/crates/basaltrail-core/tests/scale.rs
+++ b/crates/basaltrail-core/tests/scale.rs
@@ -307,6 +307,7 @@
     fn submit(&mut self, job: u64) {
         let tasks = [40, 60, 100, 250, 1_000][self.rng.random_range(0..5)];
         let spec = JobSpec {
+            kind: JobKind::Array,
             class: "c".into(),
             team: format!("t{}", job % 4),
             priority: if job.is_multiple_of(3) { Priority::Normal } else { Priority::Low },
--- a/crates/basaltrail-core/tests/simulation/days.rs
+++ b/crates/basaltrail-core/tests/simulation/days.rs
@@ -20,6 +20,7 @@
 
 fn overload_spec(tasks: u32, cpus: f64, priority: Priority) -> JobSpec {
     JobSpec {
+        kind: JobKind::Array,
         class: "c".into(),
         team: "t1".into(),
         priority,
--- a/crates/basaltrail-core/tests/simulation/world.rs
+++ b/crates/basaltrail-core/tests/simulation/world.rs
@@ -31,6 +31,7 @@
                 let at = rng.random_range(2_000..FAULTS_END + 20_000);
                 let team = rng.random_range(0..CPUS_MAX.len());
                 let spec = JobSpec {
+                    kind: JobKind::Array,
                     class: "c".into(),
                     team: format!("t{team}"),
                     priority: if rng.random_bool(0.5) { Priority::Normal } else { Priority::Low },
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -41,6 +41,7 @@
 
 fn spec(team: &str) -> JobSpec {
     JobSpec {
+        kind: JobKind::Array,
         class: "c".into(),
         team: team.into(),
         priority: Priority::Normal,
--- a/crates/basaltrail-protocol/src/jobs.rs
+++ b/crates/basaltrail-protocol/src/jobs.rs
@@ -56,7 +56,11 @@
     let text = |t: &str| !t.is_empty() && t.len() <= TEXT_MOST;
     let job =
         names::job(&s.name_id).ok_or(Malformed::Field("nameId is not of the form job-NNNNNN"))?;
-    field(s.binding == "array", "binding must be array")?;
+    let kind = match s.binding.as_str() {
+        "array" => JobKind::Array,
+        "daemon" => JobKind::Service,
+        _ => return Err(Malformed::Field("binding must be array or daemon")),
+    };
     field((1..=TASKS_MOST).contains(&s.leaves), "leaves must be 1 to 100000")?;
     field(amount(s.vcpus) && s.vcpus > 0.0, "vcpus must be above 0")?;
     field(amount(s.gpus), "gpus must be 0 or more")?;
@@ -77,6 +81,7 @@
         Precedence::BestEffort => Priority::Low,
     };
     let spec = JobSpec {
+        kind,
         class: s.shelf,
         team: s.desk,
         priority,
@@ -94,7 +99,8 @@
         estimate_s: s.reckon_s,
         checkpoint_s: s.bookmark_s,
         save_s: s.press_s,
-        deadline_s: s.due_s,
+        // What never ends has no date.
+        deadline_s: s.due_s.filter(|_| kind == JobKind::Array),
     };
     Ok((job, spec))
 }
