--- a/crates/basaltrail-core/src/jobs.rs
+++ b/crates/basaltrail-core/src/jobs.rs
@@ -93,6 +93,8 @@
     cursor: u32,
     pub account: Account,
     pub started: bool,
+    /// Since when nothing of it is placed though some waits.
+    pub bare_since: Option<Ms>,
     pub ended: Option<Final>,
     pub health: JobHealth,
 }
@@ -114,6 +116,7 @@
             cursor: 0,
             account: Account::default(),
             started: false,
+            bare_since: None,
             ended: None,
             health: JobHealth::default(),
         }
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -217,7 +217,7 @@
                 waiting[*team].retain(|j| j != id);
             }
         }
-        let ready = self.stand_by(ctx, &mut rooms);
+        let mut ready = self.stand_by(ctx, &mut rooms, &used);
         // A large array may rank behind others for as long as more comes than can be done:
         // one that has waited this long gets its first task before the ranking.
         let mut unbegun: Vec<(WallMs, JobId, usize)> = waiting
@@ -248,7 +248,6 @@
                 waiting[team].retain(|j| *j != id);
             }
         }
-        pass.ready = ready;
         pass.pressing = pressing.into_iter().map(|(_, id)| id).collect();
         pass.unbegun.append(&mut tries);
         pass.waiting.clone_from(&waiting);
@@ -268,6 +267,15 @@
                 waiting[team].retain(|j| *j != id);
             }
         }
+        let starving = self.starving(ctx);
+        if blocked.iter().any(|id| starving.contains(id)) {
+            ready.give_back(&mut rooms);
+            for id in starving.iter().filter(|id| blocked.contains(id)) {
+                self.grant_one(ctx, *id, 1, &mut rooms, &mut used, rng);
+            }
+            ready = self.stand_by(ctx, &mut rooms, &used);
+        }
+        pass.ready = ready;
         self.short_of_room = !blocked.is_empty();
         let open = || self.jobs.values().filter(|j| j.pending() > 0);
         let pauses = open().map(|j| j.health.not_before());
--- a/crates/basaltrail-core/src/reign/standing.rs
+++ b/crates/basaltrail-core/src/reign/standing.rs
@@ -11,6 +11,8 @@
 const REMEMBERED_LEASES: Ms = 30;
 /// Classes remembered at the most.
 const CLASSES_MOST: usize = 16;
+/// Workers' leases for which room is held ready beside a job of which nothing runs.
+const STARVING_LEASES: Ms = 4;
 /// Reports that a machine with replicas misses before it is given up, in halves.
 const MISSED_HALVES: Ms = 7;
 
@@ -33,28 +35,42 @@
 /// Room held ready in a pass.
 #[derive(Default)]
 pub(super) struct Ready {
-    /// By machine: CPUs, GPUs, memory.
-    held: BTreeMap<MachineId, (f64, f64, f64)>,
+    /// What is held of each machine.
+    held: BTreeMap<MachineId, Room>,
     /// What found no room, by zone.
     short: Vec<(String, Arc<JobSpec>, u32)>,
 }
 
 impl Ready {
     fn hold(&mut self, room: &mut Room, spec: &JobSpec, n: u32) {
-        let held = self.held.entry(room.machine.clone()).or_default();
-        let n = f64::from(n);
-        *held = (held.0 + spec.cpus * n, held.1 + spec.gpus * n, held.2 + spec.memory_gb * n);
-        room.cpus -= spec.cpus * n;
-        room.gpus -= spec.gpus * n;
-        room.memory_gb -= spec.memory_gb * n;
+        let none = || Room { cpus: 0.0, gpus: 0.0, memory_gb: 0.0, ..room.clone() };
+        let held = self.held.entry(room.machine.clone()).or_insert_with(none);
+        held.cpus += spec.cpus * f64::from(n);
+        held.gpus += spec.gpus * f64::from(n);
+        held.memory_gb += spec.memory_gb * f64::from(n);
+        room.take(spec, n);
+    }
+
+    /// Gives all of it back.
+    pub(super) fn give_back(self, rooms: &mut Vec<Room>) {
+        for held in self.held.into_values() {
+            match rooms.iter_mut().find(|r| r.machine == held.machine) {
+                Some(r) => {
+                    r.cpus += held.cpus;
+                    r.gpus += held.gpus;
+                    r.memory_gb += held.memory_gb;
+                }
+                None => rooms.push(held),
+            }
+        }
     }
 
     /// Leaves of a machine's room what is not held ready, and holds what was short.
     pub(super) fn keep(&mut self, types: &[MachineType], room: &mut Room) {
-        if let Some((cpus, gpus, memory_gb)) = self.held.get(&room.machine) {
-            room.cpus -= cpus;
-            room.gpus -= gpus;
-            room.memory_gb -= memory_gb;
+        if let Some(held) = self.held.get(&room.machine) {
+            room.cpus -= held.cpus;
+            room.gpus -= held.gpus;
+            room.memory_gb -= held.memory_gb;
         }
         let mut short = std::mem::take(&mut self.short);
         for (zone, spec, missing) in &mut short {
@@ -69,6 +85,10 @@
     }
 }
 
+fn presses(spec: &JobSpec) -> bool {
+    spec.is_service() && spec.priority >= Priority::High
+}
+
 fn may_use(types: &[MachineType], room: &Room, spec: &JobSpec) -> bool {
     (spec.spot || !room.spot)
         && spec.zone.as_deref().is_none_or(|z| z == room.zone)
@@ -77,7 +97,7 @@
 
 impl Reign {
     pub(super) fn note_shape(&mut self, ctx: &Ctx, spec: &Arc<JobSpec>) {
-        if !spec.is_service() {
+        if !presses(spec) {
             return;
         }
         let until = ctx.now + REMEMBERED_LEASES * ctx.cfg.lease_ms;
@@ -109,18 +129,23 @@
 
     /// Services whose replicas go before the ranking: they are missed from the first second.
     pub(super) fn pressing(&self, id: &JobId) -> bool {
-        self.jobs.get(id).is_some_and(|j| j.spec.is_service() && j.spec.priority >= Priority::High)
+        self.jobs.get(id).is_some_and(|j| presses(&j.spec))
     }
 
-    /// Holds room ready on the machines that have some.
-    pub(super) fn stand_by(&self, ctx: &Ctx, rooms: &mut Vec<Room>) -> Ready {
+    /// Holds room ready on the machines that have some, within the guarantees.
+    pub(super) fn stand_by(&self, ctx: &Ctx, rooms: &mut Vec<Room>, used: &[(f64, f64)]) -> Ready {
         let mut ready = Ready::default();
+        let mut left: Vec<f64> =
+            ctx.cfg.teams.iter().zip(used).map(|(t, (used, _))| t.cpus - used).collect();
         for shape in self.shapes.values().filter(|s| s.until > ctx.now) {
             for zone in &ctx.cfg.zones {
                 if shape.spec.zone.as_ref().is_some_and(|z| z != zone) {
                     continue;
                 }
+                let Some(team) = ctx.cfg.team(&shape.spec.team) else { continue };
                 let mut missing = shape.in_zone(ctx.cfg.zones.len()) * READY;
+                missing = missing.min(fits(left[team], shape.spec.cpus));
+                left[team] -= f64::from(missing) * shape.spec.cpus;
                 for room in rooms.iter_mut().filter(|r| r.zone == *zone) {
                     if missing > 0 && may_use(ctx.types, room, &shape.spec) {
                         let n = room.holds(&shape.spec).min(missing);
@@ -139,6 +164,22 @@
         ready
     }
 
+    /// Jobs of which nothing has run for long: room held ready is no reason to leave them
+    /// waiting beside it.
+    pub(super) fn starving(&mut self, ctx: &Ctx) -> Vec<JobId> {
+        let mut out = Vec::new();
+        for j in self.jobs.values_mut() {
+            let bare = j.ended.is_none() && j.pending() > 0 && j.placed.is_empty();
+            j.bare_since = bare.then(|| j.bare_since.unwrap_or(ctx.now));
+            let long = ctx.cfg.lease_ms * STARVING_LEASES;
+            if let Some(since) = j.bare_since.filter(|since| ctx.now > since + long) {
+                out.push((since, j.id));
+            }
+        }
+        out.sort();
+        out.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Machines of a kind that the services need, with what is held ready for more of them.
     pub(super) fn standing(&self, ctx: &Ctx, kind: &Kind) -> usize {
         let Some(t) = ctx.types.iter().find(|t| t.name == kind.machine_type) else { return 0 };
--- a/crates/basaltrail-core/tests/simulation/checks.rs
+++ b/crates/basaltrail-core/tests/simulation/checks.rs
@@ -98,7 +98,7 @@
         let t = self.t;
         let mut used = [0.0; CPUS_MAX.len()];
         let mut rooms = Vec::new();
-        let mut placed: BTreeSet<JobId> = BTreeSet::new();
+        let mut placed: BTreeMap<JobId, u32> = BTreeMap::new();
         let specs: BTreeMap<JobId, &JobSpec> =
             self.users.iter().map(|u| (u.job, &u.spec)).collect();
         let team = |s: &JobSpec| s.team[1..].parse::<usize>().unwrap();
@@ -109,7 +109,7 @@
                 let spec = specs[&k.0.job];
                 room -= spec.cpus;
                 used[team(spec)] += spec.cpus;
-                placed.insert(k.0.job);
+                *placed.entry(k.0.job).or_default() += 1;
             }
             let away = [w.hangs_until, w.deaf_until, w.mute_until].into_iter().any(|u| t < u);
             if !away && !w.faulty && w.taken_at.is_none() {
@@ -122,10 +122,12 @@
             let s = &u.spec;
             let waits = t > quiet
                 && u.told == Told::Accepted
-                && u.cancel_at.is_none()
+                && u.cancel_at.is_none_or(|c| t < c)
                 && !u.broken
                 && u.done.len() < s.tasks as usize
-                && !placed.contains(&u.job)
+                // Of a service each replica counts.
+                && placed.get(&u.job).is_none_or(|n| s.is_service() && *n < s.tasks)
+                && !(s.one_zone || s.spread) | !placed.contains_key(&u.job)
                 && used[team(s)] + s.cpus <= CPUS_MAX[team(s)] + 1e-9
                 && rooms.iter().any(|(zone, spot, room)| {
                     *room + 1e-9 >= s.cpus
--- a/crates/basaltrail-core/tests/simulation/meetings.rs
+++ b/crates/basaltrail-core/tests/simulation/meetings.rs
@@ -9,7 +9,7 @@
     for (i, u) in w.users.iter_mut().enumerate() {
         // Cancellations come from the days; most jobs are there early.
         u.broken = false;
-        u.cancel_at = None;
+        u.cancel_at = u.spec.is_service().then_some(210_000);
         u.at = 2_000 + i as u64 * 1_500;
         u.spec.tasks = u.spec.tasks.min(6);
     }
@@ -35,7 +35,7 @@
 }
 
 impl World {
-    fn restart_users(&mut self) {
+    pub(super) fn restart_users(&mut self) {
         self.queue.retain(|_, (_, _, m)| !matches!(m, Msg::User(_)));
         for i in 0..self.users.len() {
             self.send(self.users[i].at, usize::MAX, 0, Msg::User(i));
--- a/crates/basaltrail-core/tests/simulation/rolls.rs
+++ b/crates/basaltrail-core/tests/simulation/rolls.rs
@@ -23,7 +23,12 @@
         let mut w = World::new(seed);
         for u in &mut w.users {
             u.broken = false;
+            // Nothing new is asked for before all have the new version.
+            if u.spec.is_service() {
+                (u.at, u.cancel_at) = (FAULTS_END, Some(FAULTS_END + 90_000));
+            }
         }
+        w.restart_users();
         w.play(40_000);
         largest = largest.max(w.largest_part());
         day(&mut w);
--- a/crates/basaltrail-core/tests/simulation/workers.rs
+++ b/crates/basaltrail-core/tests/simulation/workers.rs
@@ -120,11 +120,12 @@
                 self.check_start(m, user, key);
             }
             TaskState::Running => {
+                let service = self.users[user].spec.is_service();
                 let bad = self.users[user].broken || self.workers[m].faulty;
                 let fails = (bad || self.rng.random_bool(0.02))
                     && !self.users[user].done.contains(&task.index);
                 let why = if fails { Why::Error } else { Why::Done };
-                if !fails {
+                if !fails && !service {
                     self.users[user].done.insert(task.index);
                     let u = &self.users[user];
                     let last = u.done.len() == u.spec.tasks as usize;
@@ -224,6 +225,13 @@
                     let until = t + self.rng.random_range(200..2_500);
                     let run = if self.long { 60_000..110_000 } else { 2_000..25_000 };
                     let progress_until = until + self.rng.random_range(run);
+                    // Few replicas end by themselves.
+                    let lasts = self.users[user].spec.is_service()
+                        && !self.users[user].broken
+                        && !self.workers[m].faulty
+                        && self.rng.random_bool(0.9);
+                    let progress_until = if lasts { u64::MAX } else { progress_until };
+                    let w = &mut self.workers[m];
                     w.tasks.insert((task, attempt), Running { state, until, progress_until });
                 }
                 Order::Stop { task, attempt, grace_s } => {
--- a/crates/basaltrail-core/tests/simulation/world.rs
+++ b/crates/basaltrail-core/tests/simulation/world.rs
@@ -53,8 +53,20 @@
                 };
                 let cancel = rng.random_bool(0.2).then(|| at + rng.random_range(1_000..40_000));
                 let mut user = User::new(1000 + i, spec, at, cancel);
+                if i >= 34 {
+                    // A service runs until it is called off.
+                    user.spec.kind = JobKind::Service;
+                    user.spec.estimate_s = 0.0;
+                    user.spec.checkpoint_s = 0.0;
+                    user.spec.tasks = user.spec.tasks.min(6);
+                    user.spec.cpus = user.spec.cpus.min(2.0);
+                    user.spec.priority = [Priority::Production, Priority::Normal][i as usize % 2];
+                    user.cancel_at = Some(at + rng.random_range(60_000..180_000));
+                }
                 if rng.random_bool(0.08) {
                     user.broken = true;
+                }
+                if user.broken && !user.spec.is_service() {
                     user.cancel_at = Some(at + rng.random_range(20_000..120_000));
                 }
                 user
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -21,7 +21,7 @@
         nodes: 3,
         zones: vec!["a".into()],
         peer_zones: vec!["a".into(), "a".into()],
-        teams: vec![team("wide", 64.0), team("narrow", 8.0)],
+        teams: vec![team("wide", 64.0), team("narrow", 8.0), team("tiny", 4.0)],
         objectives: Vec::new(),
         report_ms: 1_000,
         lease_ms: 10_000,
@@ -410,6 +410,11 @@
                             None,
                         );
                     }
+                    // Both its tasks are done, by the record.
+                    "completes" => {
+                        let bits = Some("\"0000000000000003\"".into());
+                        self.put(&records::done_key(job(2), 0), bits, None);
+                    }
                     "cancels" => {
                         self.put(&records::active_key(job(2)), None, None);
                         self.put(&records::final_key(job(2)), Some("\"c\"".into()), None);
@@ -418,7 +423,11 @@
                 }
             }
             "submit" => {
-                self.feed(Input::Submit { req, job: job(1), spec: Box::new(spec(words[2])) })
+                let mut spec = spec(words[2]);
+                if words.get(3) == Some(&"service") {
+                    (spec.kind, spec.estimate_s) = (JobKind::Service, 0.0);
+                }
+                self.feed(Input::Submit { req, job: job(1), spec: Box::new(spec) })
             }
             "poll" => self.feed(Input::Poll { req, job: job(1) }),
             "cancel" => self.feed(Input::Cancel { req, job: job(1) }),
@@ -493,4 +502,8 @@
     successor_with_old_news
     stop_goes_out_with_every_answer
     rejected_write_rests
+    service_runs_until_it_is_cancelled
+    service_is_not_done_by_a_record
+    service_beyond_the_limit
+    replica_of_a_bad_machine_takes_no_other_down
 }
