--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -109,7 +109,7 @@
 
     /// Which jobs can be in time, team by team and the higher priorities first: a team may
     /// begin at once what it lacks of its share, and as much more as its tasks end.
-    fn find_reach(&self, ctx: &Ctx, used: &[(f64, f64)]) -> HashMap<JobId, f64> {
+    pub(super) fn find_reach(&self, ctx: &Ctx, used: &[(f64, f64)]) -> HashMap<JobId, f64> {
         let mut reach = HashMap::new();
         for (team, (used, _)) in used.iter().enumerate() {
             let mut open: BTreeMap<Reverse<Priority>, Vec<Candidate>> = BTreeMap::new();
--- a/crates/basaltrail-core/src/reign/standing.rs
+++ b/crates/basaltrail-core/src/reign/standing.rs
@@ -246,3 +246,7 @@
         self.machines.values().filter(lost).map(|m| m.id.clone()).collect()
     }
 }
+
+#[cfg(test)]
+#[path = "standing_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/basaltrail-core/src/reign/standing_tests.rs
@@ -0,0 +1,165 @@
+use super::*;
+use crate::settings::sample::{a_job, a_type, settings};
+use crate::settings::{Objective, Team};
+
+fn service(tasks: u32, cpus: f64) -> JobSpec {
+    let spec = a_job(tasks, false);
+    let priority = Priority::Production;
+    JobSpec { kind: JobKind::Service, priority, estimate_s: 0.0, cpus, spread: true, ..spec }
+}
+
+fn team(cpus: f64) -> Team {
+    let max = f64::INFINITY;
+    Team { name: "t".into(), cpus, cpus_max: max, gpus: 0.0, gpus_max: max }
+}
+
+struct Bench {
+    cfg: Settings,
+    types: Vec<MachineType>,
+    table: Table,
+}
+
+impl Bench {
+    fn new(jobs: &[JobSpec], guarantee: f64) -> Self {
+        let mut table = Table::new(10);
+        for (i, spec) in jobs.iter().enumerate() {
+            let id = i as u64 + 1;
+            table.put_active(JobId(id), id + 10, JobRecord { at: 0, spec: spec.clone() });
+        }
+        let cfg = Settings { teams: vec![team(guarantee)], ..settings() };
+        Bench { cfg, types: vec![a_type()], table }
+    }
+
+    fn ctx(&self, now: Ms) -> Ctx<'_> {
+        let (cfg, types, table) = (&self.cfg, &self.types[..], &self.table);
+        Ctx { cfg, types, table, now, wall: 0, entitled: true, informed: true }
+    }
+
+    /// A leader with so many machines in each zone, all of them heard just now.
+    fn leads(&self, per_zone: usize, spot: bool) -> Reign {
+        let mut reign = Reign::new(&self.ctx(0), Token(2), 1);
+        reign.loading = Loading::Complete;
+        for i in 0..2 * per_zone {
+            let id = MachineId(format!("m-{i:02}").into());
+            let mut m = Machine::new(id.clone(), "x", ["a", "b"][i % 2], spot, 0);
+            (m.hears, m.durable, m.last_checkin, m.session) = (true, true, Some(0), 1);
+            reign.machines.insert(id, m);
+        }
+        reign
+    }
+}
+
+fn place(bench: &Bench, reign: &mut Reign, now: Ms) {
+    use rand::SeedableRng;
+    reign.next_place = 0;
+    reign.place(&bench.ctx(now), &mut Calls::default(), &mut SmallRng::seed_from_u64(1));
+}
+
+fn where_is(reign: &Reign, job: u64) -> Vec<String> {
+    let on = |m: &&Machine| m.entries.keys().any(|(t, _)| t.job == JobId(job));
+    reign.machines.values().filter(on).map(|m| m.id.to_string()).collect()
+}
+
+/// Packed on as few machines as possible, all replicas would go with one of them.
+#[test]
+fn replicas_stand_on_different_machines_while_there_are_any() {
+    let bench = Bench::new(&[service(4, 2.0)], 100.0);
+    let mut reign = bench.leads(3, false);
+    place(&bench, &mut reign, 100);
+    assert_eq!(where_is(&reign, 1).len(), 4);
+    let mut few = bench.leads(1, false);
+    place(&bench, &mut few, 100);
+    assert_eq!(where_is(&few, 1).len(), 2);
+    assert_eq!(few.jobs[&JobId(1)].pending(), 0, "two on each are better than none");
+}
+
+/// An array would take every place, and a service that comes, or comes back, would wait for
+/// its tasks to end.
+#[test]
+fn room_for_services_is_kept_from_arrays_within_the_guarantee() {
+    let array = a_job(99, true);
+    for (guarantee, held) in [(100.0, 16.0), (20.0, 12.0), (8.0, 0.0)] {
+        let bench = Bench::new(&[service(4, 2.0), array.clone()], guarantee);
+        let mut reign = bench.leads(4, false);
+        place(&bench, &mut reign, 100);
+        let free: f64 = reign.machines.values().map(|m| 8.0 - m.used().0).sum();
+        assert!(free >= held && free <= held + 8.0, "guarantee {guarantee}: {free} held");
+        assert_eq!(reign.jobs[&JobId(1)].pending(), 0);
+    }
+}
+
+/// Held against a job of which nothing runs, it would be left waiting beside room for it.
+#[test]
+fn what_is_held_is_given_to_a_job_that_waits_for_long() {
+    let bench = Bench::new(&[service(4, 2.0), a_job(2, false)], 100.0);
+    let mut reign = bench.leads(1, false);
+    place(&bench, &mut reign, 100);
+    assert!(where_is(&reign, 2).is_empty(), "all is held");
+    for m in reign.machines.values_mut() {
+        m.last_checkin = Some(50_000);
+    }
+    place(&bench, &mut reign, 50_000);
+    assert_eq!(where_is(&reign, 2).len(), 1);
+}
+
+/// A machine that goes with a replica on it is missed for a lease, unless it is given up
+/// sooner; but many that fall silent are cut off, and come back with what runs there.
+#[test]
+fn few_silent_machines_with_replicas_are_given_up_and_many_are_not() {
+    let bench = Bench::new(&[service(4, 2.0)], 100.0);
+    let mut reign = bench.leads(8, false);
+    place(&bench, &mut reign, 100);
+    let with: Vec<MachineId> =
+        where_is(&reign, 1).iter().map(|m| MachineId(m.as_str().into())).collect();
+    let now = 10_000;
+    let hear = |reign: &mut Reign, silent: &[MachineId], at: Ms| {
+        for m in reign.machines.values_mut() {
+            m.last_checkin = Some(if silent.contains(&m.id) { at } else { now });
+        }
+    };
+    hear(&mut reign, &with[..1], now - 3_400);
+    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty(), "too soon");
+    hear(&mut reign, &with[..1], now - 3_600);
+    assert_eq!(reign.silent_with_replicas(&bench.ctx(now)).len(), 1);
+    reign.woke = now - 2_000;
+    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty(), "we stood still ourselves");
+    reign.woke = 0;
+    // Half of a zone.
+    let zone: Vec<MachineId> =
+        reign.machines.values().filter(|m| m.zone == "a").map(|m| m.id.clone()).take(4).collect();
+    hear(&mut reign, &zone, now - 3_600);
+    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty(), "a cut");
+    // One without a replica may wait for its lease.
+    let bare = reign.machines.keys().find(|m| !with.contains(m)).unwrap().clone();
+    hear(&mut reign, &[bare], now - 3_600);
+    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty());
+}
+
+/// Machines for services do not go back as idle, and are asked for while there are too few.
+#[test]
+fn services_keep_ordinary_machines() {
+    let bench = Bench::new(&[service(6, 2.0)], 100.0);
+    let reign = bench.leads(1, false);
+    let kind = |zone: &str, spot| Kind { machine_type: "x".into(), zone: zone.into(), spot };
+    // Three replicas of its own in each zone, and room for two times three: 18 CPUs.
+    assert_eq!(reign.standing(&bench.ctx(0), &kind("a", false)), 3);
+    assert_eq!(reign.standing(&bench.ctx(0), &kind("b", true)), 0);
+    let none = Bench::new(&[a_job(6, false)], 100.0);
+    assert_eq!(none.leads(1, false).standing(&none.ctx(0), &kind("a", false)), 0);
+}
+
+/// What has no end is no work that ends: as overload it would put every date out of reach.
+#[test]
+fn services_do_not_count_as_work_that_ends() {
+    let cfg = |b: &mut Bench| {
+        let within_s = 200.0;
+        b.cfg.objectives = vec![Objective::Finished { class: "c".into(), within_s }];
+    };
+    let mut bench = Bench::new(&[service(40, 1.0), a_job(10, true)], 100.0);
+    cfg(&mut bench);
+    let mut reign = bench.leads(8, false);
+    reign.fleet_cpus = 128.0;
+    let reach = reign.find_reach(&bench.ctx(0), &[(0.0, 0.0)]);
+    assert_eq!(reach.get(&JobId(1)), Some(&0.0), "its replicas are missed");
+    assert!(reach.contains_key(&JobId(2)), "the array can be in time");
+}
--- a/crates/basaltrail-protocol/tests/bad_input.rs
+++ b/crates/basaltrail-protocol/tests/bad_input.rs
@@ -86,3 +86,35 @@
         assert_eq!(accepted(&job), allowed, "{field}: {value}");
     }
 }
+
+/// A service is an array but for its kind: it has no run time and no date.
+#[test]
+fn a_service_is_read() {
+    let mut job = good();
+    job.insert("binding".into(), json!("daemon"));
+    job.insert("reckonS".into(), json!(0));
+    job.insert("dueS".into(), Value::Null);
+    let read =
+        |job: &Map<String, Value>| submission(serde_json::to_string(job).unwrap().as_bytes());
+    assert!(read(&job).unwrap().1.is_service());
+    job.insert("dueS".into(), json!(900.0));
+    assert_eq!(read(&job).unwrap().1.deadline_s, None);
+    assert!(!read(&good()).unwrap().1.is_service());
+    for (field, value) in [
+        ("leaves", json!(0)),
+        ("leaves", json!(100_001)),
+        ("dueS", json!(-1.0)),
+        ("bookmarkS", json!(-1.0)),
+        ("bookmarkS", Value::Null),
+        ("reckonS", Value::Null),
+        ("binding", json!("service")),
+        ("binding", json!("Daemon")),
+        ("binding", json!("gang")),
+    ] {
+        let mut bad = job.clone();
+        bad.insert(field.into(), value.clone());
+        assert!(read(&bad).is_err(), "{field}: {value}");
+        bad.remove(field);
+        assert_eq!(read(&bad).is_err(), field != "dueS", "{field} absent");
+    }
+}
