--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/reign/renting.rs
@@ -222,8 +222,7 @@
                 ctx.now
             }
         };
-        let replicas: BTreeSet<MachineId> =
-            self.machines.values().filter(|m| self.has_replicas(m)).map(|m| m.id.clone()).collect();
+        let replicas = self.with_replicas();
         for w in &wants {
             // Dearer machines take no more work once renting half of them would not pay.
             let boot_ms =
--- a/crates/basaltrail-core/src/reign/standing.rs
+++ b/crates/basaltrail-core/src/reign/standing.rs
@@ -213,10 +213,15 @@
         self.jobs.values().any(|j| j.spec.is_service())
     }
 
-    pub(super) fn has_replicas(&self, m: &Machine) -> bool {
+    pub(super) fn with_replicas(&self) -> BTreeSet<MachineId> {
         if !self.any_service() {
-            return false;
+            return BTreeSet::new();
         }
+        let with = self.machines.values().filter(|m| self.has_replicas(m));
+        with.map(|m| m.id.clone()).collect()
+    }
+
+    fn has_replicas(&self, m: &Machine) -> bool {
         let service = |t: &TaskId| self.jobs.get(&t.job).is_some_and(|j| j.spec.is_service());
         m.entries.iter().any(|((t, _), e)| e.holds() && service(t))
     }
--- a/crates/basaltrail/tests/loopback.rs
+++ b/crates/basaltrail/tests/loopback.rs
@@ -300,6 +300,14 @@
         code == 200 && (body["condition"] == "aborted" || body["condition"] == "done"),
         "{body}"
     );
+    // A service: from its submission over a restart to its cancel, never done, though the
+    // worker here says of each replica that it is.
+    let service = job("job-000004", "buyers").replace("\"array\"", "\"daemon\"");
+    let service = service.replace("\"reckonS\":1.0", "\"reckonS\":0");
+    assert!(service.contains("\"reckonS\":0,") || service.contains("\"reckonS\":0}"), "{service}");
+    let beyond = service.replace("\"leaves\":5", "\"leaves\":400");
+    assert_eq!(status(submit, beyond).await, Some(422));
+    assert_eq!(status(submit, service.clone()).await, Some(201));
     // A body that never comes, and a line that is no request, cost nobody anything.
     let mut half = TcpStream::connect(node).await.unwrap();
     half.write_all(b"POST /api/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 500\r\n\r\n{")
@@ -323,6 +331,12 @@
         a.is_some_and(|(_, _, b)| b["condition"] == "done")
     };
     until("done after the restart", more).await;
+    let (code, _, body) = call(node, "GET /api/jobs/job-000004", "").await.unwrap();
+    assert!(code == 200 && ["queued", "running"].map(Into::into).contains(&body["condition"]));
+    let (code, _, body) = call(node, "POST /api/jobs/job-000004/cancel", "").await.unwrap();
+    assert!(code == 200 && body["condition"] == "aborted", "{body}");
+    let (code, _, body) = call(node, submit, &service).await.unwrap();
+    assert!(code == 200 && body["condition"] == "aborted", "{body}");
     let _ = std::fs::remove_file(&file);
 }
 
