The gap with watches lost after the outage: fails without the guard on old word

In the simulation a watch was answered at once after an outage, so that what was cancelled meanwhile was known before the first start.

--- a/crates/basaltrail-core/tests/simulation/main.rs
+++ b/crates/basaltrail-core/tests/simulation/main.rs
@@ -216,6 +216,8 @@
     /// Cut off from the state service, and whether what is sent is held or lost.
     state_cut: Option<(u64, bool)>,
     refused_until: u64,
+    /// Watches of the jobs are lost: neither they nor their answers arrive.
+    watch_lost_until: u64,
     /// It stands still from its next step to then, with what it has built and not sent;
     /// its clocks run on.
     freezes_until: u64,
--- a/crates/basaltrail-core/tests/simulation/meetings.rs
+++ b/crates/basaltrail-core/tests/simulation/meetings.rs
@@ -109,6 +109,10 @@
         if outage > CANCEL {
             assert!(!w.cancelled_runs(), "runs on in the gap");
         }
+        // Who leads after it hears of what was cancelled late, by its watch alone.
+        let until = w.t + 6_000;
+        w.nodes.iter_mut().for_each(|c| c.watch_lost_until = until);
+        w.quiet(6_200);
     });
 }
 
@@ -450,7 +454,12 @@
         w.wait(60_000);
         for back in [20, 400, 3_000] {
             let old = w.led();
+            // The successor's watches are lost as users cancel.
+            let until = w.t + 8_000;
+            w.nodes.iter_mut().for_each(|c| c.watch_lost_until = until);
+            w.store.watches.retain(|(.., prefix, _, _)| prefix != records::JOBS);
             w.cancel_now(3, 0);
+            w.wait(50);
             w.end(old, back);
             // In every stretch of the change: nobody leads, elected, loading, first starts.
             for _ in 0..12 {
--- a/crates/basaltrail-core/tests/simulation/nodes.rs
+++ b/crates/basaltrail-core/tests/simulation/nodes.rs
@@ -96,6 +96,9 @@
                 let input = Input::State { op, reply: StateReply::Refused };
                 return self.send(self.t + 2, i, epoch, Msg::Input(input));
             }
+            if prefix == records::JOBS && self.t < self.nodes[i].watch_lost_until {
+                return self.meet("watch lost");
+            }
             self.store.watches.push((i, epoch, op, prefix, after, self.t + wait_ms));
             return self.watch();
         }
--- a/crates/basaltrail-core/tests/simulation/world.rs
+++ b/crates/basaltrail-core/tests/simulation/world.rs
@@ -89,6 +89,7 @@
                     drift: 1.0 + [0.0005, -0.0005, 0.0][i],
                     state_cut: None,
                     refused_until: 0,
+                    watch_lost_until: 0,
                     freezes_until: 0,
                     frozen_until: 0,
                     island_until: 0,
