--- a/crates/basaltrail-core/src/reign/standing_tests.rs
+++ b/crates/basaltrail-core/src/reign/standing_tests.rs
@@ -163,3 +163,38 @@
     assert_eq!(reach.get(&JobId(1)), Some(&0.0), "its replicas are missed");
     assert!(reach.contains_key(&JobId(2)), "the array can be in time");
 }
+
+/// Left where it is until the machine is taken, a replica would be missed for a lease; it has
+/// no end that it might reach before.
+#[test]
+fn replicas_leave_a_machine_that_is_about_to_go() {
+    let bench = Bench::new(&[service(2, 2.0), a_job(1, true)], 100.0);
+    let mut reign = bench.leads(2, false);
+    place(&bench, &mut reign, 100);
+    let id = MachineId(where_is(&reign, 1)[0].as_str().into());
+    let report = Report {
+        machine: id.clone(),
+        endpoint: "e".into(),
+        machine_type: "x".into(),
+        zone: "a".into(),
+        spot: false,
+        session: 1,
+        seq: 1,
+        token: Token(2),
+        notice_s: Some(12.0),
+        tasks: Vec::new(),
+    };
+    let mut report = report;
+    let entries = &mut reign.machines.get_mut(&id).unwrap().entries;
+    for ((task, attempt), e) in entries.iter_mut() {
+        e.place = Place::Told(TaskState::Running);
+        let (task, attempt) = (*task, *attempt);
+        report.tasks.push(TaskReport { task, attempt, state: TaskState::Running });
+    }
+    use rand::SeedableRng;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let answer = reign.checkin(&bench.ctx(200), &mut Calls::default(), &report, &mut rng);
+    let Answer::Orders { orders, .. } = answer else { panic!("{answer:?}") };
+    let stops = |o: &Order| matches!(o, Order::Stop { task, .. } if task.job == JobId(1));
+    assert!(orders.iter().any(stops), "{orders:?}");
+}
