--- a/crates/basaltrail-core/tests/simulation/meetings.rs
+++ b/crates/basaltrail-core/tests/simulation/meetings.rs
@@ -140,6 +140,16 @@
         w.nodes[l].freezes_until = w.t + CANCEL + 11_900;
     };
     gap(|w, l| w.refuse(l, 14_000), 1_000, CANCEL + 12_000, still);
+    // It goes on while its workers still have their leases.
+    gap(
+        |w, l| w.refuse(l, 60_000),
+        1_000,
+        CANCEL + 12_000,
+        |w| {
+            let l = w.leaders.last().unwrap().1;
+            w.nodes[l].freezes_until = w.t + 3_500;
+        },
+    );
     gap(
         |w, l| w.refuse(l, 14_000),
         1_000,
@@ -160,11 +170,13 @@
         w.long = true;
         w.wait(60_000);
         let leader = w.led();
-        w.refuse(leader, 20_000);
+        // So long that whoever kept its workers would keep what was cancelled, too.
+        w.refuse(leader, CANCEL + 15_000);
         for _ in 0..4 {
             w.cancel_now(4, 0);
             w.wait(400);
         }
+        w.wait(CANCEL + 15_000);
     });
 }
 
