--- a/crates/basaltrail-core/src/frontdoor.rs
+++ b/crates/basaltrail-core/src/frontdoor.rs
@@ -141,25 +141,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Were the lowest ids checked first, a crowd of them would keep others waiting for
-    /// as long as it asks.
-    #[test]
-    fn checks_go_in_the_order_they_came() {
-        let table = Table::new(10);
-        let mut door = FrontDoor::default();
-        let ask = |n| Ask { req: ReqId(n), kind: Kind::Poll };
-        door.check(0, JobId(900), ask(1));
-        for n in 0..20 {
-            door.check(0, JobId(n), ask(2 + n));
-        }
-        door.check(0, JobId(900), ask(30));
-        let (jobs, conds) = door.take_checks(&table, 8);
-        assert_eq!(jobs[0].job, JobId(900));
-        assert_eq!(jobs[0].asks.len(), 2);
-        assert_eq!((jobs.len(), conds.len()), (4, 8));
-        assert_eq!(door.jobs_to_check(), 17);
-    }
-}
+#[path = "frontdoor_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/basaltrail-core/src/reign/placing_tests.rs
@@ -0,0 +1,38 @@
+use super::*;
+use crate::settings::sample::{a_job, settings};
+use crate::settings::{Objective, Team};
+
+/// By its quota no job of a guest could be in time: its longest tasks went first, and
+/// an array with a date ahead began when they were done.
+#[test]
+fn a_guests_job_with_a_date_is_in_reach() {
+    let inf = f64::INFINITY;
+    let team = |name: &str, cpus| Team {
+        name: name.into(),
+        cpus,
+        cpus_max: inf,
+        gpus: 0.0,
+        gpus_max: inf,
+    };
+    let cfg = Settings {
+        teams: vec![team("t", 0.0), team("u", 2_000.0)],
+        objectives: vec![Objective::Finished { class: "c".into(), within_s: 400.0 }],
+        ..settings()
+    };
+    let mut table = Table::new(10);
+    table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(100, true) });
+    let ctx = Ctx {
+        cfg: &cfg,
+        types: &[],
+        table: &table,
+        now: 0,
+        wall: 0,
+        entitled: true,
+        informed: true,
+    };
+    let mut reign = Reign::new(&ctx, Token(2), 1);
+    reign.fleet_cpus = 1_000.0;
+    assert!(reign.find_reach(&ctx, &[(0.0, 0.0); 2]).contains_key(&JobId(1)));
+    reign.fleet_cpus = 50.0;
+    assert!(!reign.find_reach(&ctx, &[(0.0, 0.0); 2]).contains_key(&JobId(1)));
+}
--- /dev/null
+++ b/crates/basaltrail-core/src/reign/renting_tests.rs
@@ -0,0 +1,101 @@
+use super::*;
+use crate::settings::sample::{a_job, a_type, settings};
+use crate::settings::Team;
+
+/// A job that met faulty machines twice is held back to one task. Nobody else wanted
+/// machines of its kind, and it waited for ever.
+#[test]
+fn a_job_that_is_held_back_still_gets_a_machine_of_its_kind() {
+    let inf = f64::INFINITY;
+    let team = Team { name: "t".into(), cpus: 8.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
+    let cfg = Settings { teams: vec![team], ..settings() };
+    let spec = a_job(9, false);
+    let types = [a_type()];
+    let mut table = Table::new(10);
+    table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
+    let ctx = Ctx {
+        cfg: &cfg,
+        types: &types,
+        table: &table,
+        now: 500,
+        wall: 0,
+        entitled: true,
+        informed: true,
+    };
+    let mut reign = Reign::new(&ctx, Token(2), 1);
+    let kind = Kind { machine_type: "x".into(), zone: "a".into(), spot: false };
+    assert_eq!(reign.lacking(&ctx, &[], &kind), 5);
+    // Machines beyond the team's limit would come and go idle.
+    let narrow = Team { cpus_max: 16.0, ..cfg.teams[0].clone() };
+    let narrow = Settings { teams: vec![narrow], ..cfg.clone() };
+    let limited = Ctx { cfg: &narrow, ..ctx };
+    assert_eq!(reign.lacking(&limited, &[], &kind), 2);
+    let job = reign.jobs.get_mut(&JobId(1)).unwrap();
+    for m in ["m-1", "m-2"] {
+        job.health.failed(&MachineId(m.into()), 500, cfg.lease_ms);
+    }
+    assert_eq!(reign.lacking(&ctx, &[], &kind), 1);
+    assert_eq!(reign.demand(&ctx)[0].machines, 0.5);
+}
+
+/// A guest's array of 100,000 tasks asks for more machines than can report to a leader.
+#[test]
+fn a_team_without_a_limit_rents_no_more_than_can_report() {
+    let inf = f64::INFINITY;
+    let team = Team { name: "t".into(), cpus: 0.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
+    let cfg = Settings { teams: vec![team], machines_most: 70, ..settings() };
+    let spec = a_job(100_000, true);
+    let types = [a_type()];
+    let mut table = Table::new(10);
+    table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
+    let ctx = Ctx {
+        cfg: &cfg,
+        types: &types,
+        table: &table,
+        now: 500,
+        wall: 0,
+        entitled: true,
+        informed: true,
+    };
+    let mut reign = Reign::new(&ctx, Token(2), 1);
+    reign.plan(&ctx, &mut Calls::default());
+    assert_eq!(reign.rental.asked(|_| true), 70);
+}
+
+/// A machine that never came stood for room for as long as four boots and two leases,
+/// while the work that it was rented for waited.
+#[test]
+fn late_machines_are_rented_elsewhere() {
+    let inf = f64::INFINITY;
+    let team = Team { name: "t".into(), cpus: 0.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
+    let cfg = Settings { teams: vec![team], ..settings() };
+    let types = [a_type()];
+    let mut table = Table::new(10);
+    table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
+    let ctx = Ctx {
+        cfg: &cfg,
+        types: &types,
+        table: &table,
+        now: 500,
+        wall: 0,
+        entitled: true,
+        informed: true,
+    };
+    let calls = &mut Calls::default();
+    let mut reign = Reign::new(&ctx, Token(2), 1);
+    reign.plan(&ctx, calls);
+    assert_eq!(reign.rental.asked(|_| true), 5);
+    let zone = reign.rental.pending[0].kind.zone.clone();
+    let name = reign.rental.pending[0].requisition.clone();
+    let ids = (0..5).map(|i| MachineId(format!("m-{i}").into())).collect();
+    reign.rent_answer(&ctx, calls, &name, CloudReply::Rented(ids));
+    reign.plan(&Ctx { now: 45_000, ..ctx }, calls);
+    assert_eq!(reign.rental.asked(|_| true), 0, "they may still come");
+    reign.plan(&Ctx { now: 51_000, ..ctx }, calls);
+    assert_eq!(reign.rental.asked(|_| true), 5);
+    let there = reign.rental.asked(|k| k.zone == zone);
+    assert!(there <= 2, "{there} more where none came");
+    // Nobody is rented a third time, and those that never came go back.
+    reign.plan(&Ctx { now: 81_000, ..ctx }, calls);
+    assert!(reign.machines.values().all(|m| m.given_up));
+}
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -185,46 +185,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::settings::sample::{a_job, settings};
-    use crate::settings::Team;
-
-    /// The next leader would learn of a faulty job anew, with all its tasks at once. And a
-    /// team that is named no more leaves jobs and amounts behind: they are kept, not run.
-    #[test]
-    fn a_successor_knows_the_faulty_job_and_bears_a_team_that_is_gone() {
-        let inf = f64::INFINITY;
-        let team = Team { name: "t".into(), cpus: 8.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
-        let cfg = Settings { teams: vec![team], ..settings() };
-        let mut table = Table::new(10);
-        table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
-        let gone = JobSpec { team: "gone".into(), ..a_job(9, true) };
-        table.put_active(JobId(2), 2, JobRecord { at: 0, spec: gone });
-        let ctx = Ctx {
-            cfg: &cfg,
-            types: &[],
-            table: &table,
-            now: 500,
-            wall: 0,
-            entitled: true,
-            informed: true,
-        };
-        let led = |value: &str| {
-            let mut reign = Reign::new(&ctx, Token(2), 1);
-            reign.loading = Loading::Ledger;
-            let item = Item { key: LEDGER.into(), value: value.into(), stamp: 3, loan: None };
-            reign.load_answer(&ctx, &mut Calls::default(), StateReply::Found(item));
-            assert!(reign.loaded() && !reign.jobs.contains_key(&JobId(2)));
-            reign.jobs[&JobId(1)].health.room(0)
-        };
-        let record = LedgerRecord {
-            teams: vec![("gone".into(), 5.0, 7.0)],
-            leases_end: 0,
-            suspects: vec![JobId(1), JobId(2)],
-        };
-        assert_eq!(led(&encode(&record)), 1);
-        // As an earlier version wrote it.
-        assert_eq!(led(r#"{"teams":[["t",5.0,7.0]],"leases_end":0}"#), u32::MAX);
-    }
-}
+#[path = "takeover_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/basaltrail/src/settings_tests.rs
@@ -0,0 +1,86 @@
+use super::*;
+
+pub const GOOD: &str = include_str!("../tests/settings.toml");
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let p = parse("s.toml", &format!("later = 1\n{GOOD}")).unwrap();
+    assert_eq!(p.core.teams.len(), 2);
+    assert_eq!(p.core.lease_ms, 10_000);
+    assert_eq!(p.peers.len(), 2);
+    let begun = Objective::Begun { class: "nightly-catalogue".into(), within_s: 40.0 };
+    assert!(p.core.objectives.contains(&begun), "{:?}", p.core.objectives);
+}
+
+/// A guest team has no guarantee and no limit, written as 0 or not at all.
+#[test]
+fn an_amount_of_zero_is_none() {
+    let team = "[[params.teams]]\nname = \"guest\"\n";
+    for amounts in ["", "cpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"] {
+        let text = GOOD.replacen(
+            "[[params.objectives]]",
+            &format!("{team}{amounts}\n[[params.objectives]]"),
+            1,
+        );
+        let p = parse("s.toml", &text).unwrap();
+        let guest = &p.core.teams[2];
+        assert_eq!((guest.cpus, guest.cpus_max), (0.0, f64::INFINITY));
+        assert!(p.core.weight(2).is_finite() && p.core.weight(2) > 0.0);
+        assert_eq!(p.core.teams[0].cpus_max, 664.0);
+    }
+}
+
+/// The service may have its next limits at any moment: the smaller one of each holds from
+/// the start, whichever are given.
+#[test]
+fn the_smaller_of_the_present_and_the_next_limits_holds() {
+    let with = |next: &str| {
+        let next = format!("[params.state.next]\n{next}\n[params.cloud]");
+        parse("s.toml", &GOOD.replacen("[params.cloud]", &next, 1))
+    };
+    let limits =
+        |p: Process| (p.core.state_rps, p.core.write_rps, p.core.value_bytes, p.core.txn_ops);
+    let now = (120.0, 40.0, 16 * 1024, 24);
+    assert_eq!(limits(parse("s.toml", GOOD).unwrap()), now);
+    assert_eq!(limits(with("").unwrap()), now);
+    assert_eq!(limits(with("txn_ops = 4").unwrap()), (120.0, 40.0, 16 * 1024, 4));
+    let lower = with("rps = 60\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 4").unwrap();
+    assert_eq!(limits(lower), (60.0, 15.0, 2048, 4));
+    assert_eq!(limits(with("rps = 500.0\nvalue_kb = 64.0").unwrap()), now);
+    let line = GOOD[..GOOD.find("[params.cloud]").unwrap()].matches('\n').count() + 2;
+    for (bad, why) in [
+        ("value_kb = 0.0", "params.state.next.value_kb must be above 0"),
+        ("value_kb = -2.0", "params.state.next.value_kb must be above 0"),
+        ("value_kb = inf", "params.state.next.value_kb must be above 0"),
+        ("value_kb = 1.0", "params.state.next.value_kb must be 1.25 or more"),
+        ("txn_ops = 1", "params.state.next.txn_ops must be 2 or more"),
+        ("write_rps = 0", "params.state.next.write_rps must be above 0"),
+        ("rps = nan", "params.state.next.rps must be above 0"),
+    ] {
+        assert_eq!(with(bad).unwrap_err().to_string(), format!("s.toml:{line}: {why}"));
+    }
+    for bad in ["rps = \"x\"", "txn_ops = -1", "txn_ops = 2.5"] {
+        assert!(with(bad).unwrap_err().to_string().starts_with("s.toml:"), "{bad}");
+    }
+}
+
+#[test]
+fn bad_settings_say_where() {
+    let told = |from: &str, to: &str| {
+        let text = GOOD.replacen(from, to, 1);
+        assert_ne!(text, GOOD, "{from}");
+        parse("s.toml", &text).unwrap_err().to_string()
+    };
+    assert!(told("size = 3", "size = \"x\"").starts_with("s.toml:"));
+    assert!(told("127.0.0.1:7100", "nowhere").contains("listen"));
+    assert!(told("lease_s = 10.0", "lease_s = 0.0").contains("workers.lease_s"));
+    assert!(told("txn_ops = 24", "txn_ops = 0").contains("txn_ops"));
+    assert!(told("max_connections = 600", "max_connections = 0").contains("max_connections"));
+    assert!(told("\nrps = 120.0", "\nrps = 0.0").contains("state.rps"));
+    assert!(told("value_kb = 16.0", "value_kb = 1.0").contains("state.value_kb must be 1.25"));
+    let none: String = GOOD.split("[[params.teams]]").next().unwrap().into();
+    let rest = &GOOD[GOOD.find("[[params.objectives]]").unwrap()..];
+    let none = parse("s.toml", &format!("{none}teams = []\n{rest}"));
+    assert!(none.unwrap_err().to_string().contains("no team"));
+    assert!(told("name = \"buyers\"", "name = \"cataloguers\"").contains("twice"));
+}
