Takeover waits by kind of machine; a loading leader answers; useful stops only

And work on spot machines was stopped for services that may not use them, pass after pass, while free spot machines counted as room for them: only what stands where the job may run is stopped, and only room that it may use counts.

--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use crate::health::MachineHealth;
 use crate::model::*;
+use crate::rental::Kind;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -89,7 +90,7 @@
 /// another node, so one that is back sooner took our answer.
 const UNANSWERED_MS: Ms = 4000;
 /// Answers to a machine that does not show our token, before it is let go.
-const GREETINGS: u32 = 3;
+pub const GREETINGS: u32 = 3;
 
 pub struct Machine {
     pub id: MachineId,
@@ -207,6 +208,11 @@
         u
     }
 
+    /// Its type, zone and whether it is a spot machine.
+    pub fn kind(&self) -> Kind {
+        Kind { machine_type: self.machine_type.clone(), zone: self.zone.clone(), spot: self.spot }
+    }
+
     pub fn has_image(&self, image: &str) -> bool {
         self.images.iter().any(|(i, _)| i == image)
     }
--- a/crates/basaltrail-core/src/model.rs
+++ b/crates/basaltrail-core/src/model.rs
@@ -121,6 +121,16 @@
     pub fn is_service(&self) -> bool {
         self.kind == JobKind::Service
     }
+
+    /// Whether its tasks may be placed on machines of this type, zone and kind (PROTOCOL:
+    /// `formats`, `room`, `remainders`). Resources and the spread over zones are not considered.
+    pub fn permits(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
+        let type_allowed =
+            self.types.as_ref().is_none_or(|types| types.iter().any(|t| t == machine_type));
+        let zone_allowed = self.zone.as_deref().is_none_or(|allowed| allowed == zone);
+        let kind_allowed = self.spot || !spot;
+        type_allowed && zone_allowed && kind_allowed
+    }
 }
 
 /// How a job ended; never changes once durable.
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -179,6 +179,8 @@
     load_in_flight: bool,
     load_after: Option<String>,
     load_not_before: Ms,
+    /// Until the roster is read: what was answered to which machine.
+    early_answers: HashMap<MachineId, takeover::EarlyAnswers>,
     pub machines: BTreeMap<MachineId, Machine>,
     pub jobs: BTreeMap<JobId, RunJob>,
     loaded_done: BTreeMap<JobId, Vec<(u32, String)>>,
@@ -262,6 +264,7 @@
             load_in_flight: false,
             load_after: None,
             load_not_before: 0,
+            early_answers: HashMap::new(),
             machines: BTreeMap::new(),
             jobs: BTreeMap::new(),
             loaded_done: BTreeMap::new(),
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/reign/placing.rs
@@ -77,6 +77,20 @@
         used
     }
 
+    /// Kinds of the machines on which tasks of earlier leaders may run that no report has
+    /// shown to this leader yet.
+    fn unaccounted_kinds(&self) -> BTreeSet<Kind> {
+        self.machines.values().filter(|m| !m.accounted).map(Machine::kind).collect()
+    }
+
+    /// Whether an earlier leader may have started tasks of this job on a machine that has not
+    /// reported to this leader. A job accepted since the takeover cannot have been started,
+    /// and no leader of any version starts a task on a kind of machine that its job does
+    /// not permit.
+    fn may_run_unseen(&self, job: &RunJob, unaccounted: &BTreeSet<Kind>) -> bool {
+        job.stamp <= self.stamp && unaccounted.iter().any(|kind| kind.permitted_by(&job.spec))
+    }
+
     fn accrue(&mut self, ctx: &Ctx) -> f64 {
         let teams = ctx.cfg.teams.len();
         let mut running = vec![0.0; teams];
@@ -160,7 +174,7 @@
         self.next_place = ctx.now + ctx.cfg.report_ms / 20;
         self.fleet_cpus = self.accrue(ctx);
         self.visited += self.machines.values().map(|m| 1 + m.entries.len() as u64).sum::<u64>();
-        let all_accounted = self.machines.values().all(|m| m.accounted);
+        let unaccounted = self.unaccounted_kinds();
         let mut used = self.usage(ctx);
         let mut rooms: Vec<Room> =
             self.machines.values().filter_map(|m| self.room(ctx, m)).collect();
@@ -169,12 +183,10 @@
         let mut waiting: Vec<Vec<JobId>> = vec![Vec::new(); ctx.cfg.teams.len()];
         let mut tries: Vec<JobId> = Vec::new();
         for j in self.jobs.values() {
-            // What an earlier leader may have started waits until every machine of the
-            // roster is accounted for; a job accepted since cannot have been started.
             if j.pending() > 0
                 && j.health.not_before() <= ctx.now
                 && !self.unknown.contains(&j.id)
-                && (all_accounted || j.stamp > self.stamp)
+                && !self.may_run_unseen(j, &unaccounted)
             {
                 match j.health.suspect() {
                     true => tries.push(j.id),
@@ -451,6 +463,24 @@
         ids.extend(keyed.into_iter().map(|(_, id)| id));
     }
 
+    /// Where the tasks of a job may be, if its zones are restricted.
+    pub(super) fn spread_of(&self, id: JobId) -> Spread {
+        let mut spread = Spread::default();
+        let restricted = self.jobs.get(&id).is_some_and(|job| job.spec.one_zone || job.spec.spread);
+        if !restricted {
+            return spread;
+        }
+        for machine in self.machines.values() {
+            let of_job =
+                |((task, _), entry): &(&(TaskId, Attempt), &Entry)| task.job == id && entry.holds();
+            let tasks = machine.entries.iter().filter(of_job).count();
+            if tasks > 0 {
+                spread.add(&machine.zone, tasks as u32);
+            }
+        }
+        spread
+    }
+
     /// Places tasks of one job on one machine; gives how many.
     fn grant(
         &mut self,
@@ -463,17 +493,9 @@
     ) -> u32 {
         let want = self.limit_room(ctx, id, used).min(most);
         let need = self.need(id);
+        let spread = self.spread_of(id);
         let Some(j) = self.jobs.get_mut(&id).filter(|_| want > 0) else { return 0 };
         let want = want.min(j.room()).min(if j.spec.is_service() { 1 } else { u32::MAX });
-        let mut spread = Spread::default();
-        if j.spec.one_zone || j.spec.spread {
-            for m in self.machines.values() {
-                let n = m.entries.iter().filter(|((t, _), e)| t.job == id && e.holds()).count();
-                if n > 0 {
-                    spread.add(&m.zone, n as u32);
-                }
-            }
-        }
         let machines = &self.machines;
         let image = |m: &MachineId| machines.get(m).is_some_and(|m| m.has_image(&j.spec.image));
         let sample = ctx.cfg.policy.sample;
--- a/crates/basaltrail-core/src/reign/preempting.rs
+++ b/crates/basaltrail-core/src/reign/preempting.rs
@@ -2,6 +2,29 @@
 
 use super::*;
 
+/// CPUs that can soon be used, by kind of machine.
+#[derive(Default)]
+struct ComingRoom {
+    cpus: BTreeMap<Kind, f64>,
+}
+
+impl ComingRoom {
+    fn add(&mut self, kind: Kind, cpus: f64) {
+        *self.cpus.entry(kind).or_default() += cpus;
+    }
+
+    /// Takes up to `want` CPUs of the kinds that are useful; returns how many it took.
+    fn take(&mut self, want: f64, useful: impl Fn(&Kind) -> bool) -> f64 {
+        let mut taken = 0.0;
+        for (_, cpus) in self.cpus.iter_mut().filter(|(kind, _)| useful(kind)) {
+            let part = cpus.min(want - taken);
+            *cpus -= part;
+            taken += part;
+        }
+        taken
+    }
+}
+
 impl Reign {
     /// Tasks that may be stopped for others, in the order of [`Victim`]. Checkpointing work
     /// only: what cannot save would lose all it has done.
@@ -29,6 +52,24 @@
         victims
     }
 
+    /// CPUs that are free, or come free as tasks are stopped.
+    fn coming_room(&self, ctx: &Ctx, rooms: &[Room]) -> ComingRoom {
+        let mut coming = ComingRoom::default();
+        for room in rooms {
+            let machine_type = ctx.types[room.type_index].name.clone();
+            let kind = Kind { machine_type, zone: room.zone.clone(), spot: room.spot };
+            coming.add(kind, room.cpus);
+        }
+        for machine in self.machines.values() {
+            let stopped = machine.entries.values().filter(|e| e.holds() && e.stop.is_some());
+            let cpus: f64 = stopped.filter_map(|e| e.need).map(|need| need.cpus).sum();
+            if cpus > 0.0 {
+                coming.add(machine.kind(), cpus);
+            }
+        }
+        coming
+    }
+
     /// Makes room for work that must not wait, at the cost of work that can save.
     pub(super) fn preempt(
         &mut self,
@@ -38,16 +79,7 @@
         used: &[(f64, f64)],
         rooms: &[Room],
     ) {
-        let free: f64 = rooms.iter().map(|r| r.cpus).sum();
-        let leaving: f64 = self
-            .machines
-            .values()
-            .flat_map(|m| m.entries.values())
-            .filter(|e| e.holds() && e.stop.is_some())
-            .filter_map(|e| e.need)
-            .map(|n| n.cpus)
-            .sum();
-        let mut coming = free + leaving;
+        let mut coming = self.coming_room(ctx, rooms);
         let mut freed: BTreeMap<usize, f64> = BTreeMap::new();
         let mut victims: Option<Vec<Victim>> = None;
         let mut stopped = 0;
@@ -55,9 +87,13 @@
             let Some(j) = self.jobs.get(id) else { continue };
             let team = &ctx.cfg.teams[j.team];
             let mut want = j.spec.cpus * self.limit_room(ctx, *id, used) as f64;
-            let from_coming = coming.min(want);
-            coming -= from_coming;
-            want -= from_coming;
+            let spread = self.spread_of(*id);
+            let spec = j.spec.clone();
+            // Room that the job may not use is none: its work would be stopped in vain.
+            let useful = |machine_type: &str, zone: &str, spot: bool| {
+                spec.permits(machine_type, zone, spot) && spread.room(&spec, zone) > 0
+            };
+            want -= coming.take(want, |kind| useful(&kind.machine_type, &kind.zone, kind.spot));
             // A job with time to lose gets room as tasks end; each stop costs a save and a start.
             let soon_ms = SOON_LEASES * ctx.cfg.lease_ms as f64;
             let pressed = self.reach.get(id).is_some_and(|spare_s| spare_s * 1000.0 < soon_ms);
@@ -84,6 +120,7 @@
                     continue;
                 }
                 let m = self.machines.get_mut(machine);
+                let m = m.filter(|m| useful(&m.machine_type, &m.zone, m.spot));
                 let e = m.and_then(|m| m.entries.get_mut(key)).filter(|e| e.stop.is_none());
                 let Some(e) = e else { continue };
                 e.stop = n.save_s.map(|s| s + 1.0);
--- a/crates/basaltrail-core/src/reign/preempting_tests.rs
+++ b/crates/basaltrail-core/src/reign/preempting_tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::settings::sample::{a_job, a_type, settings};
+use crate::settings::Team;
 
 /// The first tasks of a job that had waited nine leases were stopped as they began, and
 /// none of it ran for minutes.
@@ -48,3 +49,87 @@
     };
     assert_eq!((victims(5_000), victims(30_500), victims(36_000)), (0, 1, 2));
 }
+
+/// Work on spot machines was stopped for services that may not use them, pass after pass, and
+/// none was stopped where they could have gone: free spot machines counted as room for them.
+#[test]
+fn only_work_that_stands_where_the_job_may_run_is_stopped() {
+    let service = JobSpec {
+        kind: JobKind::Service,
+        priority: Priority::Production,
+        estimate_s: 0.0,
+        spread: true,
+        ..a_job(2, false)
+    };
+    let team = Team {
+        name: "t".into(),
+        cpus: 100.0,
+        cpus_max: f64::INFINITY,
+        gpus: 0.0,
+        gpus_max: f64::INFINITY,
+    };
+    let (cfg, types) = (Settings { teams: vec![team], ..settings() }, [a_type()]);
+    let mut table = Table::new(10);
+    table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(99, true) });
+    table.put_active(JobId(2), 2, JobRecord { at: 0, spec: service.clone() });
+    let now = 60_000;
+    let ctx = Ctx {
+        cfg: &cfg,
+        types: &types,
+        table: &table,
+        now,
+        wall: now as WallMs,
+        entitled: true,
+        informed: true,
+    };
+    let mut reign = Reign::new(&ctx, Token(2), 1);
+    // One replica runs in zone a, where no other may go.
+    let kinds = [("m-1", "a", false), ("m-2", "b", true), ("m-3", "b", false), ("m-4", "a", false)];
+    for (index, (name, zone, spot)) in kinds.into_iter().enumerate() {
+        let mut machine = Machine::new(MachineId(name.into()), "x", zone, spot, 0);
+        (machine.hears, machine.durable, machine.last_checkin) = (true, true, Some(now));
+        let (job, spec) = match name {
+            "m-4" => (JobId(2), &service),
+            _ => (JobId(1), &a_job(99, true)),
+        };
+        let need = Need {
+            team: 0,
+            cpus: 4.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            priority: spec.priority,
+            save_s: (job == JobId(1)).then_some(2.0),
+        };
+        let entry = Entry {
+            place: Place::Told(TaskState::Running),
+            need: Some(need),
+            stop: None,
+            stop_sent: None,
+            since: 0,
+            running_since: Some(0),
+            settled: false,
+            first: false,
+        };
+        let task = TaskId { job, index: index as u32 };
+        machine.entries.insert((task, Attempt(index as u64)), entry);
+        reign.machines.insert(machine.id.clone(), machine);
+    }
+    reign.reach.insert(JobId(2), 0.0);
+    let free_spot = Room {
+        machine: MachineId("m-2".into()),
+        type_index: 0,
+        zone: "b".into(),
+        spot: true,
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 60.0,
+    };
+    reign.preempt(&ctx, &mut Calls::default(), &[JobId(2)], &[(16.0, 0.0)], &[free_spot]);
+    let stopped: Vec<String> = reign
+        .machines
+        .values()
+        .filter(|machine| machine.entries.values().any(|entry| entry.stop.is_some()))
+        .map(|machine| machine.id.to_string())
+        .collect();
+    assert_eq!(stopped, ["m-3"]);
+}
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/reign/reports.rs
@@ -148,7 +148,7 @@
     ) -> Answer {
         let busy = |why| Answer::Busy { retry_s: 1, why };
         if !self.loaded() {
-            return busy("loading");
+            return self.checkin_while_loading(ctx, r);
         }
         if self.returned.contains(&r.machine) {
             return busy("machine returned");
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -2,7 +2,51 @@
 
 use super::*;
 
+/// Answers to a machine that were given before the roster was read.
+#[derive(Default)]
+pub(super) struct EarlyAnswers {
+    /// The last one; it may have renewed the machine's lease.
+    renewed: Ms,
+    /// Those to reports that did not show this leader's token.
+    without_token: u32,
+}
+
 impl Reign {
+    /// Answers a report while the state that earlier leaders left is still being read. The
+    /// answer renews the worker's lease: were it refused, all leases would run out where the
+    /// state service is slow, or fails, just after the election. Nothing is started, and what
+    /// the answer may have renewed is counted once the roster is read.
+    pub(super) fn checkin_while_loading(&mut self, ctx: &Ctx, report: &Report) -> Answer {
+        let busy = |why| Answer::Busy { retry_s: 1, why };
+        if report.token > self.token {
+            // It would drop the answer.
+            return Answer::Elsewhere { leader: None };
+        }
+        let known = self.early_answers.contains_key(&report.machine);
+        if !known && self.early_answers.len() >= ctx.cfg.machines_most {
+            return busy("loading");
+        }
+        let answers = self.early_answers.entry(report.machine.clone()).or_default();
+        let mut orders = Vec::new();
+        if report.token == self.token {
+            orders = stops_of_ended_jobs(ctx.table, report);
+        } else if answers.without_token >= GREETINGS {
+            return busy("no word with this token");
+        } else {
+            answers.without_token += 1;
+        }
+        answers.renewed = ctx.now;
+        Answer::Orders { token: self.token, orders }
+    }
+
+    /// Counts what was answered to a machine of the roster before the roster was read.
+    fn count_early_answers(&self, machine: &mut Machine) {
+        if let Some(answers) = self.early_answers.get(&machine.id) {
+            machine.renewed = machine.renewed.max(answers.renewed);
+            machine.greeted = answers.without_token;
+        }
+    }
+
     pub fn load(&mut self, ctx: &Ctx, calls: &mut Calls) {
         if self.load_in_flight || self.loaded() || ctx.now < self.load_not_before {
             return;
@@ -47,6 +91,7 @@
                         m.expected = !e.free;
                         m.part = Some(part);
                         m.renewed = self.since;
+                        self.count_early_answers(&mut m);
                         self.machines.insert(e.id.clone(), m);
                     }
                     self.roster_bytes[part] = i.value.len();
@@ -79,6 +124,7 @@
                     self.inherited.extend(told.into_iter().take(SUSPECTS_TOLD));
                 }
                 self.loading = Loading::Complete;
+                self.early_answers.clear();
                 let ids: Vec<JobId> = self.jobs.keys().copied().collect();
                 for job in ids {
                     self.apply_loaded(job);
@@ -184,6 +230,15 @@
     }
 }
 
+/// Stops for the tasks in a report whose jobs have ended.
+fn stops_of_ended_jobs(table: &Table, report: &Report) -> Vec<Order> {
+    let ended = |t: &&TaskReport| {
+        !matches!(t.state, TaskState::Exited(_)) && table.ended(t.task.job).is_some()
+    };
+    let stop = |t: &TaskReport| Order::Stop { task: t.task, attempt: t.attempt, grace_s: 0.0 };
+    report.tasks.iter().filter(ended).take(ORDERS_MOST).map(stop).collect()
+}
+
 #[cfg(test)]
 #[path = "takeover_tests.rs"]
 mod tests;
--- a/crates/basaltrail-core/src/rental.rs
+++ b/crates/basaltrail-core/src/rental.rs
@@ -11,6 +11,13 @@
     pub spot: bool,
 }
 
+impl Kind {
+    /// Whether tasks of the job may be placed on machines of this kind.
+    pub fn permitted_by(&self, spec: &JobSpec) -> bool {
+        spec.permits(&self.machine_type, &self.zone, self.spot)
+    }
+}
+
 /// A rental whose outcome is not known yet; the same name is asked again until it is.
 #[derive(Clone, Debug)]
 pub struct Request {
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -77,6 +77,8 @@
     watches: Vec<(OpId, String, u64, u64, u64)>,
     /// No watch of the jobs is answered.
     news_held: bool,
+    /// The roster cannot be read.
+    roster_held: bool,
     /// Watches that are never answered.
     hung: Vec<OpId>,
     /// A key whose writes the service rejects for good, and how many it has.
@@ -101,6 +103,7 @@
             stuck: Vec::new(),
             watches: Vec::new(),
             news_held: false,
+            roster_held: false,
             hung: Vec::new(),
             rejects: None,
             rejected: 0,
@@ -134,6 +137,9 @@
             StateOp::Get(k) => {
                 self.keys.get(k).map_or(StateReply::Missing, |v| StateReply::Found(item(k, v)))
             }
+            StateOp::List { prefix, .. } if self.roster_held && prefix == records::ROSTER => {
+                StateReply::Refused
+            }
             StateOp::List { prefix, .. } => StateReply::Rows {
                 items: self
                     .keys
@@ -363,6 +369,7 @@
                 assert!((1..=most).contains(&self.rejected), "{} rejected", self.rejected);
             }
             "news" => self.news_held = words[1] == "held",
+            "roster" => self.roster_held = words[1] == "held",
             "watch" => {
                 let jobs = self.watches.iter().filter(|w| w.1 == records::JOBS);
                 self.hung.extend(jobs.map(|w| w.0));
@@ -393,17 +400,19 @@
                     }
                     "goes" => self.put("c/leader", None, None),
                     "roster" => {
-                        let e = |m: &&str| match m.strip_prefix("free:") {
-                            Some(m) => {
-                                format!(r#"{{"id":"{m}","ty":"x","z":"a","s":false,"f":true}}"#)
-                            }
-                            None => format!(r#"{{"id":"{m}","ty":"x","z":"a","s":false}}"#),
+                        let e = |word: &&str| {
+                            let (marks, m) = word.rsplit_once(':').unwrap_or(("", word));
+                            let spot = marks.contains("spot");
+                            let free = if marks.contains("free") { r#","f":true"# } else { "" };
+                            format!(r#"{{"id":"{m}","ty":"x","z":"a","s":{spot}{free}}}"#)
                         };
                         let all: Vec<String> = words[2..].iter().map(e).collect();
                         self.put("r/0", Some(format!("[{}]", all.join(","))), None);
                     }
                     "job" => {
-                        let record = records::JobRecord { at: 0, spec: spec(words[3]) };
+                        let spot = words.get(4) != Some(&"ordinary");
+                        let spec = JobSpec { spot, ..spec(words[3]) };
+                        let record = records::JobRecord { at: 0, spec };
                         self.put(
                             &records::active_key(job(2)),
                             Some(records::encode(&record)),
@@ -470,6 +479,9 @@
 traces! {
     takeover_waits_for_every_machine
     takeover_passes_over_free_machines
+    takeover_passes_over_machines_a_job_may_not_use
+    loading_leader_renews_leases_and_stops_ended_jobs
+    machine_answered_while_loading_is_waited_for
     late_write_of_an_old_leader
     lost_start
     late_report
