Three versions side by side: simulated, and their records and frames pinned

The earlier versions are taken out of the history (tests/mixed-versions), so that their own decisions are played, not an account of them.

--- a/crates/basaltrail-core/tests/simulation/days.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/days.rs
@@ -7,6 +7,7 @@
     let mut started = 0;
     for seed in 0..48 {
         let mut w = World::new(seed);
+        w.services_only_where_known();
         // One trouble at a time, then two: pairs are what a design forgets.
         w.run(1 + (seed % 3).min(1) as u32, DAY);
         w.check_end();
--- a/crates/basaltrail-core/tests/simulation/meetings.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/meetings.rs
@@ -14,6 +14,7 @@
         u.spec.tasks = u.spec.tasks.min(6);
     }
     w.restart_users();
+    w.services_only_where_known();
     w
 }
 
--- a/crates/basaltrail-core/tests/simulation/nodes.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/nodes.rs
@@ -22,6 +22,9 @@
                     let at = goes + self.delay();
                     match asker {
                         Asker::Worker(who, n) => {
+                            if self.nodes[i].version.acts_on_old_word() {
+                                self.old_word_at = Some(goes);
+                            }
                             let at = self.between(i, who, at);
                             let sent = self.workers[who].session;
                             self.send(at, usize::MAX, 0, Msg::Orders(who, sent, n, answer));
--- a/crates/basaltrail-protocol/src/frames_tests.rs
+++ b/crates/basaltrail-protocol/src/frames_tests.rs
@@ -21,3 +21,23 @@
     assert_eq!(body_bytes(&long[..HEADER_BYTES]), None);
     assert_eq!(body_bytes(&long[..3]), None);
 }
+
+/// The bytes of a frame as every version since e26460f has written and read them: a frame of
+/// another layout ends the connection to a node that has not been upgraded yet.
+#[test]
+fn the_layout_of_a_frame_stays() {
+    let progress = [Progress { job: JobId(0x0102_0304_0506_0708), done: 0x0A0B_0C0D, running: 7 }];
+    #[rustfmt::skip]
+    let bytes = [
+        b'B', b'T', b'R', b'L', // magic
+        1, 0, // version
+        1, 0, // kind: progress
+        1, 0, 0, 0, // records
+        8, 7, 6, 5, 4, 3, 2, 1, // job
+        0x0D, 0x0C, 0x0B, 0x0A, // tasks done
+        7, 0, 0, 0, // tasks running
+    ];
+    assert_eq!(write(&progress), bytes);
+    assert_eq!(body_bytes(&bytes[..12]), Some(16));
+    assert_eq!(read(&bytes[12..]).unwrap(), progress);
+}
--- /dev/null
+++ b/tests/mixed-versions/tests/versions/convert.rs
@@ -0,0 +1,320 @@
+//! Inputs and effects of the present version as an earlier one has them, and back. The types
+//! have the same shape under other names; what differs is given to the macro.
+
+/// `$rejected` is what the version is told of a write that the state service refuses for good.
+macro_rules! earlier_version {
+    ($module:ident, $old:ident, $rejected:expr) => {
+        pub mod $module {
+            use basaltrail_core as new;
+            use $old as old;
+
+            pub fn settings(s: new::Settings) -> old::Settings {
+                old::Settings {
+                    node: s.node,
+                    zone: s.zone,
+                    nodes: s.nodes,
+                    zones: s.zones,
+                    peer_zones: s.peer_zones,
+                    teams: s.teams.into_iter().map(team).collect(),
+                    objectives: s.objectives.into_iter().map(objective).collect(),
+                    report_ms: s.report_ms,
+                    lease_ms: s.lease_ms,
+                    cancel_ms: s.cancel_ms,
+                    state_rps: s.state_rps,
+                    write_rps: s.write_rps,
+                    value_bytes: s.value_bytes,
+                    txn_ops: s.txn_ops,
+                    cloud_rps: s.cloud_rps,
+                    list_lag_ms: s.list_lag_ms,
+                    memory_mb: s.memory_mb,
+                    machines_most: s.machines_most,
+                    incarnation: s.incarnation,
+                    policy: old::Policy::default(),
+                }
+            }
+
+            fn team(t: new::Team) -> old::Team {
+                old::Team {
+                    name: t.name,
+                    cpus: t.cpus,
+                    cpus_max: t.cpus_max,
+                    gpus: t.gpus,
+                    gpus_max: t.gpus_max,
+                }
+            }
+
+            fn objective(o: new::Objective) -> old::Objective {
+                match o {
+                    new::Objective::Deadline { class, times } => {
+                        old::Objective::Deadline { class, times }
+                    }
+                    new::Objective::Finished { class, within_s } => {
+                        old::Objective::Finished { class, within_s }
+                    }
+                    new::Objective::Begun { class, within_s } => {
+                        old::Objective::Begun { class, within_s }
+                    }
+                }
+            }
+
+            /// By the stored form, as the version reads it.
+            fn stored<A: serde::Serialize, B: for<'a> serde::Deserialize<'a>>(value: &A) -> B {
+                let text = serde_json::to_string(value).expect("it can be stored");
+                serde_json::from_str(&text).expect("the version reads it")
+            }
+
+            pub fn input(input: new::Input) -> old::Input {
+                match input {
+                    new::Input::Tick => old::Input::Tick,
+                    new::Input::Submit { req, job, spec } => old::Input::Submit {
+                        req: old::ReqId(req.0),
+                        job: old::JobId(job.0),
+                        spec: Box::new(stored(&*spec)),
+                    },
+                    new::Input::Poll { req, job } => {
+                        old::Input::Poll { req: old::ReqId(req.0), job: old::JobId(job.0) }
+                    }
+                    new::Input::Cancel { req, job } => {
+                        old::Input::Cancel { req: old::ReqId(req.0), job: old::JobId(job.0) }
+                    }
+                    new::Input::Checkin { req, report: r } => {
+                        old::Input::Checkin { req: old::ReqId(req.0), report: Box::new(report(*r)) }
+                    }
+                    new::Input::State { op, reply } => {
+                        old::Input::State { op: old::OpId(op.0), reply: state_reply(reply) }
+                    }
+                    new::Input::Cloud { op, reply } => {
+                        old::Input::Cloud { op: old::OpId(op.0), reply: cloud_reply(reply) }
+                    }
+                    new::Input::Peer { progress } => {
+                        let progress = progress.into_iter().map(|p| old::Progress {
+                            job: old::JobId(p.job.0),
+                            done: p.done,
+                            running: p.running,
+                        });
+                        old::Input::Peer { progress: progress.collect() }
+                    }
+                }
+            }
+
+            fn report(r: new::Report) -> old::Report {
+                let task = |t: new::TaskReport| old::TaskReport {
+                    task: old::TaskId { job: old::JobId(t.task.job.0), index: t.task.index },
+                    attempt: old::Attempt(t.attempt.0),
+                    state: match t.state {
+                        new::TaskState::Fetching => old::TaskState::Fetching,
+                        new::TaskState::Running => old::TaskState::Running,
+                        new::TaskState::Saving => old::TaskState::Saving,
+                        new::TaskState::Exited(why) => old::TaskState::Exited(match why {
+                            new::Why::Done => old::Why::Done,
+                            new::Why::Stopped => old::Why::Stopped,
+                            new::Why::Error => old::Why::Error,
+                            new::Why::NoRoom => old::Why::NoRoom,
+                            new::Why::Busy => old::Why::Busy,
+                            new::Why::Unknown => old::Why::Unknown,
+                        }),
+                    },
+                };
+                old::Report {
+                    machine: old::MachineId(r.machine.0),
+                    endpoint: r.endpoint,
+                    machine_type: r.machine_type,
+                    zone: r.zone,
+                    spot: r.spot,
+                    session: r.session,
+                    seq: r.seq,
+                    token: old::Token(r.token.0),
+                    notice_s: r.notice_s,
+                    tasks: r.tasks.into_iter().map(task).collect(),
+                }
+            }
+
+            fn item(i: new::Item) -> old::Item {
+                old::Item { key: i.key, value: i.value, stamp: i.stamp, loan: i.loan }
+            }
+
+            fn state_reply(reply: new::StateReply) -> old::StateReply {
+                match reply {
+                    new::StateReply::Found(i) => old::StateReply::Found(item(i)),
+                    new::StateReply::Missing => old::StateReply::Missing,
+                    new::StateReply::Rows { items, more, revision } => old::StateReply::Rows {
+                        items: items.into_iter().map(item).collect(),
+                        more,
+                        revision,
+                    },
+                    new::StateReply::Committed { revision } => {
+                        old::StateReply::Committed { revision }
+                    }
+                    new::StateReply::Conflict { failed } => old::StateReply::Conflict { failed },
+                    new::StateReply::Granted { loan } => old::StateReply::Granted { loan },
+                    new::StateReply::Ok => old::StateReply::Ok,
+                    new::StateReply::Events { revision, events } => old::StateReply::Events {
+                        revision,
+                        events: events
+                            .into_iter()
+                            .map(|event| match event {
+                                new::Event::Put(i) => old::Event::Put(item(i)),
+                                new::Event::Remove { key, stamp } => {
+                                    old::Event::Remove { key, stamp }
+                                }
+                            })
+                            .collect(),
+                    },
+                    new::StateReply::Compacted => old::StateReply::Compacted,
+                    new::StateReply::Refused => old::StateReply::Refused,
+                    new::StateReply::Rejected => $rejected,
+                    new::StateReply::Unknown => old::StateReply::Unknown,
+                }
+            }
+
+            fn cloud_reply(reply: new::CloudReply) -> old::CloudReply {
+                let ids = |ids: Vec<new::MachineId>| {
+                    ids.into_iter().map(|id| old::MachineId(id.0)).collect()
+                };
+                match reply {
+                    new::CloudReply::Types(types) => old::CloudReply::Types(stored(&types)),
+                    new::CloudReply::Rented(machines) => old::CloudReply::Rented(ids(machines)),
+                    new::CloudReply::NoCapacity => old::CloudReply::NoCapacity,
+                    new::CloudReply::Released => old::CloudReply::Released,
+                    new::CloudReply::Listed { machines, more } => old::CloudReply::Listed {
+                        machines: machines.into_iter().map(listed).collect(),
+                        more,
+                    },
+                    new::CloudReply::Failed => old::CloudReply::Failed,
+                }
+            }
+
+            fn listed(m: new::ListedMachine) -> old::ListedMachine {
+                old::ListedMachine {
+                    machine: old::MachineId(m.machine.0),
+                    endpoint: m.endpoint,
+                    machine_type: m.machine_type,
+                    zone: m.zone,
+                    spot: m.spot,
+                    state: match m.state {
+                        new::ListedState::Booting => old::ListedState::Booting,
+                        new::ListedState::Running => old::ListedState::Running,
+                        new::ListedState::Failed => old::ListedState::Failed,
+                    },
+                    age_s: m.age_s,
+                }
+            }
+
+            pub fn effect(effect: old::Effect) -> new::Effect {
+                match effect {
+                    old::Effect::Answer { req, answer: a } => {
+                        new::Effect::Answer { req: new::ReqId(req.0), answer: answer(a) }
+                    }
+                    old::Effect::State { op, call, timeout_ms } => {
+                        new::Effect::State { op: new::OpId(op.0), call: state_op(call), timeout_ms }
+                    }
+                    old::Effect::Cloud { op, call, timeout_ms } => {
+                        new::Effect::Cloud { op: new::OpId(op.0), call: cloud_op(call), timeout_ms }
+                    }
+                    old::Effect::Peers { progress } => new::Effect::Peers {
+                        progress: progress
+                            .into_iter()
+                            .map(|p| new::Progress {
+                                job: new::JobId(p.job.0),
+                                done: p.done,
+                                running: p.running,
+                            })
+                            .collect(),
+                    },
+                    old::Effect::Log { level, event, detail } => new::Effect::Log {
+                        level: match level {
+                            old::Level::Error => new::Level::Error,
+                            old::Level::Info => new::Level::Info,
+                            old::Level::Debug => new::Level::Debug,
+                        },
+                        event,
+                        detail,
+                    },
+                }
+            }
+
+            fn answer(answer: old::Answer) -> new::Answer {
+                match answer {
+                    old::Answer::Created { job } => new::Answer::Created { job: new::JobId(job.0) },
+                    old::Answer::State { job, view, done, running } => new::Answer::State {
+                        job: new::JobId(job.0),
+                        view: match view {
+                            old::JobView::Queued => new::JobView::Queued,
+                            old::JobView::Running => new::JobView::Running,
+                            old::JobView::Done => new::JobView::Done,
+                            old::JobView::Cancelled => new::JobView::Cancelled,
+                        },
+                        done,
+                        running,
+                    },
+                    old::Answer::Invalid(why) => new::Answer::Invalid(why),
+                    old::Answer::Impossible(why) => new::Answer::Impossible(why),
+                    old::Answer::NotFound => new::Answer::NotFound,
+                    old::Answer::Busy { retry_s, why } => new::Answer::Busy { retry_s, why },
+                    old::Answer::Orders { token, orders } => new::Answer::Orders {
+                        token: new::Token(token.0),
+                        orders: orders.into_iter().map(order).collect(),
+                    },
+                    old::Answer::Elsewhere { leader } => new::Answer::Elsewhere { leader },
+                }
+            }
+
+            fn order(order: old::Order) -> new::Order {
+                let task =
+                    |t: old::TaskId| new::TaskId { job: new::JobId(t.job.0), index: t.index };
+                match order {
+                    old::Order::Start { task: t, attempt } => {
+                        new::Order::Start { task: task(t), attempt: new::Attempt(attempt.0) }
+                    }
+                    old::Order::Stop { task: t, attempt, grace_s } => new::Order::Stop {
+                        task: task(t),
+                        attempt: new::Attempt(attempt.0),
+                        grace_s,
+                    },
+                    old::Order::Forget { task: t, attempt } => {
+                        new::Order::Forget { task: task(t), attempt: new::Attempt(attempt.0) }
+                    }
+                }
+            }
+
+            fn state_op(op: old::StateOp) -> new::StateOp {
+                match op {
+                    old::StateOp::Get(key) => new::StateOp::Get(key),
+                    old::StateOp::List { prefix, after, limit } => {
+                        new::StateOp::List { prefix, after, limit }
+                    }
+                    old::StateOp::Txn { conds, puts, removes } => new::StateOp::Txn {
+                        conds,
+                        puts: puts
+                            .into_iter()
+                            .map(|p| new::Put { key: p.key, value: p.value, loan: p.loan })
+                            .collect(),
+                        removes,
+                    },
+                    old::StateOp::Grant { ttl_ms } => new::StateOp::Grant { ttl_ms },
+                    old::StateOp::Extend { loan } => new::StateOp::Extend { loan },
+                    old::StateOp::Revoke { loan } => new::StateOp::Revoke { loan },
+                    old::StateOp::Watch { prefix, after, wait_ms } => {
+                        new::StateOp::Watch { prefix, after, wait_ms }
+                    }
+                }
+            }
+
+            fn cloud_op(op: old::CloudOp) -> new::CloudOp {
+                match op {
+                    old::CloudOp::Types => new::CloudOp::Types,
+                    old::CloudOp::Rent { requisition, machine_type, zone, spot, count } => {
+                        new::CloudOp::Rent { requisition, machine_type, zone, spot, count }
+                    }
+                    old::CloudOp::Release(ids) => new::CloudOp::Release(
+                        ids.into_iter().map(|id| new::MachineId(id.0)).collect(),
+                    ),
+                    old::CloudOp::List { after } => new::CloudOp::List { after },
+                }
+            }
+        }
+    };
+}
+
+earlier_version!(e26460f, core_e26460f, core_e26460f::StateReply::Refused);
+earlier_version!(v9b39f4b, core_9b39f4b, core_9b39f4b::StateReply::Rejected);
