--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -1,7 +1,6 @@
 //! Calls in flight, and the budgets they were paid from.
 
 use crate::budget::{Bucket, Class};
-use crate::deputy;
 use crate::election::Call;
 use crate::frontdoor::{Ask, Confirming, NewJob};
 use crate::io::*;
@@ -12,7 +11,6 @@
 /// What an answer is for.
 pub enum Purpose {
     Election(Call),
-    Deputy(deputy::Call),
     JobsList { after: Option<String>, sent: Ms },
     JobsWatch { sent: Ms, catch_up: bool },
     Submit(Vec<NewJob>),
--- a/crates/basaltrail-core/src/election.rs
+++ b/crates/basaltrail-core/src/election.rs
@@ -7,7 +7,6 @@
 use crate::io::*;
 use crate::model::*;
 use crate::records::*;
-use std::collections::BTreeMap;
 
 #[derive(Clone, Debug, PartialEq)]
 struct Holder {
@@ -22,34 +21,9 @@
     term: Token,
     term_stamp: u64,
     home: Option<String>,
-    /// Grants to deputies by zone, with their stamps.
-    grants: BTreeMap<String, (GrantRecord, u64)>,
-    /// Offers of deputies by zone, and when each was last seen to change.
-    offers: BTreeMap<String, (OfferRecord, Ms)>,
     revision: u64,
 }
 
-impl View {
-    /// A grant or an offer that cannot be read is none; but that there is a grant is known.
-    fn learn_of_deputy(&mut self, zone: &str, what: &str, item: Option<&Item>, now: Ms) {
-        match (what, item) {
-            ("grant", Some(item)) => {
-                let none = GrantRecord { token: Token(0), loan: 0, beat: 0, in_force: false };
-                let record = decode(&item.value).unwrap_or(none);
-                self.grants.insert(zone.to_string(), (record, item.stamp));
-            }
-            ("grant", None) => drop(self.grants.remove(zone)),
-            ("offer", Some(item)) => {
-                if let Some(record) = decode(&item.value) {
-                    self.offers.insert(zone.to_string(), (record, now));
-                }
-            }
-            ("offer", None) => drop(self.offers.remove(zone)),
-            _ => {}
-        }
-    }
-}
-
 #[derive(Clone, Debug, PartialEq)]
 enum Role {
     Following,
@@ -65,46 +39,19 @@
     right_until: Ms,
 }
 
-impl Lead {
-    pub fn loan(&self) -> u64 {
-        self.loan
-    }
-}
-
-/// Who holds the leader's key.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Leader<'a> {
-    pub node: &'a str,
-    pub token: Token,
-    pub stamp: u64,
-}
-
 /// Calls the election has in flight.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Call {
     List,
     Watch,
-    Grant {
-        sent: Ms,
-    },
-    Take {
-        loan: u64,
-        granted: Ms,
-        token: Token,
-    },
-    Extend {
-        sent: Ms,
-    },
-    Revoke {
-        loan: u64,
-    },
-    /// Removes the key of an earlier process of this node.
-    Remove,
+    Grant { sent: Ms },
+    Take { loan: u64, granted: Ms, token: Token },
+    Extend { sent: Ms },
+    Revoke { loan: u64 },
 }
 
 pub struct Election {
     node: String,
-    zones: Vec<String>,
     incarnation: u64,
     ttl: Ms,
     right: Ms,
@@ -124,10 +71,9 @@
 }
 
 impl Election {
-    pub fn new(node: &str, zones: &[String], incarnation: u64, ttl: Ms, right: Ms) -> Self {
+    pub fn new(node: &str, incarnation: u64, ttl: Ms, right: Ms) -> Self {
         Election {
             node: node.into(),
-            zones: zones.to_vec(),
             incarnation,
             ttl,
             right,
@@ -169,32 +115,14 @@
         self.view.as_ref()?.holder.as_ref().map(|h| h.record.node.as_str())
     }
 
-    /// Who holds the leader's key, this node or another.
-    pub fn leader(&self) -> Option<Leader<'_>> {
-        let holder = self.view.as_ref()?.holder.as_ref()?;
-        Some(Leader { node: &holder.record.node, token: holder.record.token, stamp: holder.stamp })
-    }
-
-    /// The grant for a zone, and its stamp.
-    pub fn grant(&self, zone: &str) -> Option<(&GrantRecord, u64)> {
-        self.view.as_ref()?.grants.get(zone).map(|(grant, stamp)| (grant, *stamp))
-    }
-
-    /// The last offer of a deputy in this zone to the leader with this token, and when it was
-    /// seen.
-    pub fn offer(&self, zone: &str, token: Token) -> Option<(&OfferRecord, Ms)> {
-        let (offer, seen) = self.view.as_ref()?.offers.get(zone)?;
-        (offer.token == token).then_some((offer, *seen))
-    }
-
     pub fn step_down(&mut self, now: Ms) {
         self.role = Role::Following;
         self.view = None;
         self.next_list = now;
     }
 
-    /// Gives leadership up for a while, so that another node may take it. The key is
-    /// removed as that of an earlier process would be.
+    /// Gives leadership up for a while, so that another node may take it. The loan is
+    /// ended as that of an earlier process would be.
     pub fn resign(&mut self, now: Ms, hold: Ms) {
         self.step_down(now);
         self.hold_until = now + hold;
@@ -207,8 +135,7 @@
         if self.view.is_none() {
             if !self.listing && now >= self.next_list {
                 self.listing = true;
-                let limit = 10 + 2 * self.zones.len() as u32;
-                let op = StateOp::List { prefix: CONTROL.into(), after: None, limit };
+                let op = StateOp::List { prefix: CONTROL.into(), after: None, limit: 10 };
                 out.push((Call::List, op, self.ttl / 4));
             }
         } else if !self.watching && now >= self.next_list {
@@ -231,18 +158,13 @@
                 let Some(v) = self.view.as_ref().filter(|_| !self.acting) else { return out };
                 match &v.holder {
                     // Our own name with a process that is gone (or a take whose outcome
-                    // we never heard): nobody acts under it, so it can go now, unless a
-                    // deputy may have had a grant under it. That one's right ends with the
-                    // loan, so then the loan is left to end by itself.
+                    // we never heard): nobody acts under it, so its loan can end now.
                     Some(h) if h.record.node == self.node && now >= self.next_revoke => {
-                        if h.loan.is_some() && v.grants.is_empty() {
-                            let mut conds = vec![(LEADER.to_string(), h.stamp)];
-                            conds.extend(self.zones.iter().map(|zone| (grant_key(zone), 0)));
+                        if let Some(loan) = h.loan {
                             self.acting = true;
                             self.next_revoke = now + self.ttl / 10;
-                            let removes = vec![LEADER.to_string()];
-                            let op = StateOp::Txn { conds, puts: Vec::new(), removes };
-                            out.push((Call::Remove, op, self.ttl / 4));
+                            let op = StateOp::Revoke { loan };
+                            out.push((Call::Revoke { loan }, op, self.ttl / 4));
                         }
                     }
                     None if self.next_act == Ms::MAX => self.next_act = now + jitter,
@@ -275,10 +197,6 @@
             }
         } else if key == HOME {
             v.home = item.and_then(|i| decode(&i.value));
-        } else if let Some((zone, what)) =
-            key.strip_prefix(ZONES).and_then(|rest| rest.rsplit_once('/'))
-        {
-            v.learn_of_deputy(zone, what, item, now);
         }
         let holder = v.holder.clone();
         if let (Role::Leading(l), Some(h)) = (&self.role, holder) {
@@ -369,10 +287,9 @@
                 self.extending = false;
                 self.next_extend = now + pause;
             }
-            (Call::Revoke { .. }, _) => {}
-            (Call::Remove, reply) => {
+            (Call::Revoke { .. }, reply) => {
                 self.acting = false;
-                if matches!(reply, StateReply::Committed { .. } | StateReply::Conflict { .. }) {
+                if matches!(reply, StateReply::Ok | StateReply::Missing) {
                     self.view = None;
                     self.next_list = now;
                 }
--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -88,7 +88,7 @@
 
 /// How long a worker waits for an answer (PROTOCOL, Workers); only then does it ask
 /// another node, so one that is back sooner took our answer.
-pub const UNANSWERED_MS: Ms = 4000;
+const UNANSWERED_MS: Ms = 4000;
 /// Answers to a machine that does not show our token, before it is let go.
 pub const GREETINGS: u32 = 3;
 
--- a/crates/basaltrail-core/src/jobs.rs
+++ b/crates/basaltrail-core/src/jobs.rs
@@ -41,13 +41,6 @@
         self.finals.get(&job).copied()
     }
 
-    /// Stops for the tasks in a report whose jobs have ended, as many as `most`.
-    pub fn stops_for(&self, report: &Report, most: usize) -> Vec<Order> {
-        let ended = |t: &&TaskReport| t.is_live() && self.ended(t.task.job).is_some();
-        let stop = |t: &TaskReport| Order::Stop { task: t.task, attempt: t.attempt, grace_s: 0.0 };
-        report.tasks.iter().filter(ended).take(most).map(stop).collect()
-    }
-
     pub fn put_active(&mut self, job: JobId, stamp: u64, record: JobRecord) {
         if self.finals.contains_key(&job) {
             return;
--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -3,7 +3,6 @@
 pub mod boot;
 pub mod budget;
 pub mod calls;
-pub mod deputy;
 pub mod election;
 pub mod fairness;
 pub mod fleet;
--- a/crates/basaltrail-core/src/model.rs
+++ b/crates/basaltrail-core/src/model.rs
@@ -167,13 +167,6 @@
     pub state: TaskState,
 }
 
-impl TaskReport {
-    /// Whether the task is still there: it waits for its image, runs or saves.
-    pub fn is_live(&self) -> bool {
-        !matches!(self.state, TaskState::Exited(_))
-    }
-}
-
 /// A worker's report, whichever way it came.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Report {
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -2,18 +2,16 @@
 
 use crate::budget::Class;
 use crate::calls::{Calls, Purpose};
-use crate::deputy::Deputy;
-use crate::election::{Call, Election};
+use crate::election::Election;
 use crate::frontdoor::{impossible, Ask, FrontDoor, Kind, NewJob};
 use crate::io::*;
 use crate::jobs::Table;
 use crate::model::*;
 use crate::records::*;
-use crate::reign::{Ctx, Reign, ORDERS_MOST};
+use crate::reign::{Ctx, Reign};
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 mod replies;
@@ -28,8 +26,6 @@
 /// Active jobs and remembered ends, per megabyte.
 const ACTIVE_PER_MB: f64 = 100.0;
 const ENDS_PER_MB: f64 = 1000.0;
-/// Records of jobs that are to be read, beyond which none is added for workers' sake.
-const READS_MOST: usize = 16;
 
 pub struct Node {
     cfg: Arc<Settings>,
@@ -38,9 +34,6 @@
     rng: SmallRng,
     calls: Calls,
     election: Election,
-    deputy: Deputy,
-    /// Whether it was said in the log that this node answers as a deputy.
-    deputizes: bool,
     table: Table,
     door: FrontDoor,
     types: Vec<MachineType>,
@@ -75,9 +68,7 @@
             wall: 0,
             rng: SmallRng::seed_from_u64(seed),
             calls: Calls::default(),
-            election: Election::new(&cfg.node, &cfg.zones, cfg.incarnation, ttl, cfg.at_most(ttl)),
-            deputy: Deputy::new(&cfg),
-            deputizes: false,
+            election: Election::new(&cfg.node, cfg.incarnation, ttl, cfg.at_most(ttl)),
             table: Table::new((cfg.memory_mb * ENDS_PER_MB).max(1000.0) as usize),
             door: FrontDoor::default(),
             types: Vec::new(),
@@ -180,20 +171,12 @@
         // where most machines are go first.
         if self.election.home().unwrap_or(self.cfg.busiest_zone()) != self.cfg.zone {
             jitter += self.cfg.leader_lease_ms() / 8;
-        } else if self.cfg.zones.len() > 1 && self.cfg.next_zone == self.cfg.zone {
-            // Workers that a cut keeps from their leader try the next node: one beyond the cut
-            // may answer them in the leader's place before their leases end.
-            jitter += self.cfg.leader_lease_ms() / 16;
         }
         for (call, op, timeout) in self.election.calls(self.now, jitter) {
             // Leases come first; they are few.
             self.calls.pay(self.now, Class::Lease);
-            if call == Call::Remove {
-                self.calls.writes.take(self.now, 1.0, Class::Lease);
-            }
             self.calls.state(Purpose::Election(call), op, timeout);
         }
-        self.deputize();
         let entitled = self.election.entitled(self.now);
         self.entitled_since = entitled.then(|| self.entitled_since.unwrap_or(self.now));
         self.follow_role();
@@ -220,65 +203,6 @@
         self.tell_progress();
     }
 
-    /// Whether this node follows and does not hear the leader.
-    fn lost_leader(&self) -> bool {
-        self.reign.is_none() && self.now > self.leader_heard + self.cfg.report_ms * 2
-    }
-
-    /// What a follower does for the workers of a zone that is cut off from the leader, and what
-    /// the leader hears of that.
-    fn deputize(&mut self) {
-        if let Some(reign) = self.reign.as_mut() {
-            for zone in &self.cfg.zones {
-                if let Some((offer, seen)) = self.election.offer(zone, reign.token) {
-                    reign.note_offer(zone, offer.beat, seen);
-                }
-            }
-            return;
-        }
-        let answers = self.now < self.deputy.right_until();
-        if answers != self.deputizes {
-            self.deputizes = answers;
-            let detail = format!("zone={} begins={answers}", self.cfg.zone);
-            self.calls.log(Level::Info, "deputy", detail);
-        }
-        if self.cfg.zones.len() < 2 || !self.lost_leader() {
-            return;
-        }
-        for (call, op, timeout) in self.deputy.confirmations(self.now, &self.election) {
-            self.calls.pay(self.now, Class::Lease);
-            self.calls.state(Purpose::Deputy(call), op, timeout);
-        }
-        let in_time = |calls: &mut Calls, now| {
-            calls.pay(now, Class::Rest) && calls.writes.take(now, 1.0, Class::Rest)
-        };
-        if let Some((call, op, timeout)) = self.deputy.offer(self.now, &self.election) {
-            match in_time(&mut self.calls, self.now) {
-                true => self.calls.state(Purpose::Deputy(call), op, timeout),
-                false => self.deputy.answer(call, &StateReply::Refused),
-            }
-        }
-    }
-
-    /// Answers a worker in the place of a leader that it cannot reach. Nothing is started, and
-    /// a task is kept only if its job is known not to have ended.
-    fn answer_as_deputy(&mut self, token: Token, report: &Report) -> Answer {
-        if self.deputy.probes(self.now, &report.machine) {
-            let leader = self.election.leader_hint().map(str::to_string);
-            return Answer::Elsewhere { leader };
-        }
-        let known =
-            |job: &JobId| self.table.active.contains_key(job) || self.table.ended(*job).is_some();
-        let live = report.tasks.iter().filter(|t| t.is_live()).map(|t| t.task.job);
-        let unknown: BTreeSet<JobId> = live.filter(|job| !known(job)).collect();
-        if !unknown.is_empty() {
-            let room = READS_MOST.saturating_sub(self.door.reads.len());
-            self.door.reads.extend(unknown.into_iter().take(room).map(|job| (job, Vec::new())));
-            return Answer::Busy { retry_s: 1, why: "job not read" };
-        }
-        Answer::Orders { token, orders: self.table.stops_for(report, ORDERS_MOST) }
-    }
-
     fn shares(&mut self) {
         let leads = self.reign.is_some();
         if self.leads == Some(leads) {
@@ -320,7 +244,7 @@
                 entitled: true,
                 informed: false,
             };
-            self.reign = Some(Reign::under(l.loan(), &ctx, l.token, l.stamp));
+            self.reign = Some(Reign::new(&ctx, l.token, l.stamp));
         }
     }
 
@@ -415,14 +339,14 @@
 
     fn read_unknown(&mut self) {
         let Some(r) = self.reign.as_mut() else { return };
-        if r.unknown.is_empty() || self.door.reads.len() > READS_MOST {
+        if r.unknown.is_empty() || self.door.reads.len() > 16 {
             return;
         }
         // Each is asked for once a second at the most, by taking it off the list here;
         // workers' next reports put it back while it stays unknown.
         while let Some(job) = r.unknown.pop_first() {
             self.door.reads.push((job, Vec::new()));
-            if self.door.reads.len() > READS_MOST {
+            if self.door.reads.len() > 16 {
                 break;
             }
         }
@@ -447,10 +371,7 @@
         // What we answer keeps a task for a lease more, and it may be of a job whose user was
         // told long ago that it is cancelled.
         let recent = self.jobs_as_of.is_some_and(|t| self.now <= t + self.cfg.word_ms());
-        let deputy = self.deputy.token_for(self.now, report).filter(|_| self.lost_leader());
-        let answer = if let Some(token) = deputy.filter(|_| recent) {
-            Some(self.answer_as_deputy(token, report))
-        } else if !self.election.entitled(self.now) {
+        let answer = if !self.election.entitled(self.now) {
             None
         } else if !recent {
             Some(Answer::Busy { retry_s: 1, why: "jobs not read" })
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -35,7 +35,6 @@
                     self.calls.state(Purpose::Election(call), op, timeout);
                 }
             }
-            Purpose::Deputy(call) => self.deputy.answer(call, &reply),
             Purpose::JobsList { after, sent } => self.jobs_listed(after, sent, reply),
             Purpose::JobsWatch { sent, catch_up } => {
                 let pause = match catch_up {
--- a/crates/basaltrail-core/src/records.rs
+++ b/crates/basaltrail-core/src/records.rs
@@ -8,9 +8,6 @@
 pub const TERM: &str = "c/term";
 /// The zone with the most machines; the next leader had better be there.
 pub const HOME: &str = "c/home";
-/// Grants to deputies and their offers, by zone. They sort behind the keys above: an earlier
-/// version lists no more than the first ten.
-pub const ZONES: &str = "c/zone/";
 pub const JOBS: &str = "j/";
 pub const ACTIVE: &str = "j/a/";
 pub const FINAL: &str = "j/t/";
@@ -29,27 +26,6 @@
     pub token: Token,
 }
 
-/// Under which a follower may answer the workers of a zone (see [`crate::deputy`]).
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GrantRecord {
-    /// The leader's.
-    pub token: Token,
-    /// Under which the leader's key stands.
-    pub loan: u64,
-    /// Grows while the leader is there.
-    pub beat: u64,
-    pub in_force: bool,
-}
-
-/// A follower that hears no leader offers to answer the workers of its zone.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OfferRecord {
-    pub node: String,
-    /// Of the leader that it does not hear.
-    pub token: Token,
-    pub beat: u64,
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Time of day of the first acceptance.
@@ -99,14 +75,6 @@
     format!("{ROSTER}{part}")
 }
 
-pub fn grant_key(zone: &str) -> String {
-    format!("{ZONES}{zone}/grant")
-}
-
-pub fn offer_key(zone: &str) -> String {
-    format!("{ZONES}{zone}/offer")
-}
-
 /// Our own keys hold exactly `{:06}`; anything else is not ours.
 pub fn parse_job(text: &str) -> Option<JobId> {
     let id = JobId(text.parse().ok()?);
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/reign/mod.rs
@@ -17,7 +17,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
-mod delegating;
 mod listing;
 mod placing;
 mod preempting;
@@ -60,8 +59,6 @@
     cleaned: Vec<(JobId, u32)>,
     ledger: bool,
     home: bool,
-    /// Grants to deputies, and whether each was written as one that is in force.
-    grants: Vec<(String, bool)>,
     changes: usize,
 }
 
@@ -140,7 +137,7 @@
 /// Workers' leases for which a write rests that the state service rejected.
 const PARKED_LEASES: Ms = 6;
 /// Orders in one response, to stay under the line limit.
-pub const ORDERS_MOST: usize = 200;
+const ORDERS_MOST: usize = 200;
 
 /// A task that may be stopped for others: by priority, then those with the most time
 /// to lose or none to win, youngest first.
@@ -177,8 +174,6 @@
 pub struct Reign {
     pub token: Token,
     pub stamp: u64,
-    /// Under which the leader's key stands.
-    loan: u64,
     pub since: Ms,
     loading: Loading,
     load_in_flight: bool,
@@ -257,23 +252,13 @@
     /// Jobs that workers told of and the table does not hold.
     pub unknown: BTreeSet<JobId>,
     pub next_progress: Ms,
-    /// The offers of followers to answer the workers of their zones.
-    offers: BTreeMap<String, delegating::Offer>,
-    /// By zone; none is taken out.
-    delegations: BTreeMap<String, delegating::Delegation>,
 }
 
 impl Reign {
-    /// Leads under this loan.
-    pub fn under(loan: u64, ctx: &Ctx, token: Token, stamp: u64) -> Self {
-        Reign { loan, ..Reign::new(ctx, token, stamp) }
-    }
-
     pub fn new(ctx: &Ctx, token: Token, stamp: u64) -> Self {
         let mut reign = Reign {
             token,
             stamp,
-            loan: 0,
             since: ctx.now,
             loading: Loading::Roster,
             load_in_flight: false,
@@ -329,8 +314,6 @@
             returned: Recent::new((ctx.cfg.memory_mb * RETURNED_PER_MB) as usize),
             unknown: BTreeSet::new(),
             next_progress: 0,
-            offers: BTreeMap::new(),
-            delegations: BTreeMap::new(),
         };
         for job in ctx.table.active.keys() {
             reign.sync_job(ctx, *job);
@@ -384,7 +367,6 @@
     /// Leases that have surely ended, and machines that went silent. Not at every input:
     /// their number times that of the machines would be all that a leader gets done.
     fn watch_machines(&mut self, ctx: &Ctx, calls: &mut Calls) {
-        self.delegate(ctx, calls);
         let lapse_after = ctx.cfg.surely(ctx.cfg.lease_ms);
         let silent_after = ctx.cfg.report_ms * 3;
         let lapses = |m: &Machine| !m.lapsed && ctx.now > m.renewed + lapse_after;
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/reign/takeover.rs
@@ -29,7 +29,7 @@
         let answers = self.early_answers.entry(report.machine.clone()).or_default();
         let mut orders = Vec::new();
         if report.token == self.token {
-            orders = ctx.table.stops_for(report, ORDERS_MOST);
+            orders = stops_of_ended_jobs(ctx.table, report);
         } else if answers.without_token >= GREETINGS {
             return busy("no word with this token");
         } else {
@@ -230,6 +230,15 @@
     }
 }
 
+/// Stops for the tasks in a report whose jobs have ended.
+fn stops_of_ended_jobs(table: &Table, report: &Report) -> Vec<Order> {
+    let ended = |t: &&TaskReport| {
+        !matches!(t.state, TaskState::Exited(_)) && table.ended(t.task.job).is_some()
+    };
+    let stop = |t: &TaskReport| Order::Stop { task: t.task, attempt: t.attempt, grace_s: 0.0 };
+    report.tasks.iter().filter(ended).take(ORDERS_MOST).map(stop).collect()
+}
+
 #[cfg(test)]
 #[path = "takeover_tests.rs"]
 mod tests;
--- a/crates/basaltrail-core/src/reign/writing.rs
+++ b/crates/basaltrail-core/src/reign/writing.rs
@@ -36,13 +36,9 @@
     }
 
     fn put(&mut self, stamp: u64, key: String, value: String) {
-        self.put_under(None, stamp, key, value);
-    }
-
-    fn put_under(&mut self, loan: Option<u64>, stamp: u64, key: String, value: String) {
         self.bytes += 2 * Self::FRAME + value.len();
         self.conds.push((key.clone(), stamp));
-        self.puts.push(Put { key, value, loan });
+        self.puts.push(Put { key, value, loan: None });
     }
 
     fn put_end(&mut self, job: JobId, stamp: u64) {
@@ -80,22 +76,6 @@
         let most = ctx.cfg.txn_ops.max(2).min(self.changes_most);
         let mut t = Txn::new((LEADER.to_string(), self.stamp), most);
         let mut paid = |n: f64, class| calls.writes.take(now, n, class);
-        // Workers beyond a cut wait for these.
-        let due: Vec<String> =
-            self.delegations.iter().filter(|(_, d)| d.due).map(|(zone, _)| zone.clone()).collect();
-        for zone in due {
-            let key = grant_key(&zone);
-            let shut = self.refresh.contains_key(&key) || self.parked.contains_key(&key);
-            let record = self.grant_record(&zone).filter(|_| !shut && t.room(1, 256));
-            let Some(record) = record.filter(|_| paid(1.0, Class::Lease)) else { continue };
-            if let Some(delegation) = self.delegations.get_mut(&zone) {
-                delegation.due = false;
-            }
-            f.keys.push(key.clone());
-            f.grants.push((zone, record.in_force));
-            let stamp = self.stamps.get(&key).copied().unwrap_or(0);
-            t.put_under(Some(self.loan), stamp, key, encode(&record));
-        }
         for id in &self.complete {
             let Some(j) = self.jobs.get(id).filter(|j| j.ended.is_none()) else { continue };
             if !ctx.table.active.contains_key(id)
@@ -226,11 +206,6 @@
         self.cleanup.extend(f.cleaned);
         self.ledger_due |= f.ledger;
         self.home_due |= f.home;
-        for (zone, _) in f.grants {
-            if let Some(delegation) = self.delegations.get_mut(&zone) {
-                delegation.due = true;
-            }
-        }
         self.next_parts = self.next_parts.min(ctx.now + ctx.cfg.report_ms / 4);
     }
 
@@ -248,9 +223,6 @@
                         j.durable.add_part(part, &text);
                     }
                 }
-                for (zone, in_force) in &f.grants {
-                    self.grant_written(ctx, zone, *in_force);
-                }
                 for (part, ids) in f.roster {
                     self.roster_written(part);
                     let still: HashSet<&MachineId> =
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -50,8 +50,6 @@
     pub zones: Vec<String>,
     /// Zones of the other controllers.
     pub peer_zones: Vec<String>,
-    /// The zone of the controller that workers try after this one.
-    pub next_zone: String,
     pub teams: Vec<Team>,
     pub objectives: Vec<Objective>,
     pub report_ms: Ms,
@@ -179,7 +177,6 @@
             nodes: 3,
             zones: vec!["a".into(), "b".into()],
             peer_zones: vec!["a".into(), "b".into()],
-            next_zone: "b".into(),
             teams: Vec::new(),
             objectives: Vec::new(),
             report_ms: 1_000,
--- a/crates/basaltrail-core/tests/scale.rs
+++ b/crates/basaltrail-core/tests/scale.rs
@@ -33,7 +33,6 @@
         nodes: 5,
         zones: vec!["a".into(), "b".into()],
         peer_zones: vec!["a".into(); 4],
-        next_zone: "a".into(),
         teams: (0..4).map(team).collect(),
         objectives: vec![Objective::Finished { class: "c".into(), within_s: 120.0 }],
         report_ms: REPORT,
--- a/crates/basaltrail-core/tests/simulation/simulated/meetings.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/meetings.rs
@@ -4,7 +4,7 @@
 use super::*;
 
 /// Jobs enough to fill the machines: arrays of every placement wish, of all teams.
-pub(super) fn busy(seed: u64) -> World {
+fn busy(seed: u64) -> World {
     let mut w = World::new(seed);
     for (i, u) in w.users.iter_mut().enumerate() {
         // Cancellations come from the days; most jobs are there early.
--- a/crates/basaltrail-core/tests/simulation/simulated/mod.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/mod.rs
@@ -3,7 +3,6 @@
 //! by the world and not by the core. Seeds are fixed: the verdict is always the same.
 
 mod checks;
-mod cuts;
 mod days;
 mod meetings;
 mod nodes;
@@ -59,7 +58,6 @@
         zone: ZONES[node % 2].into(),
         nodes: NODES,
         zones: ZONES.map(String::from).to_vec(),
-        next_zone: ZONES[(node + 1) % NODES % 2].into(),
         peer_zones: (0..NODES).filter(|n| *n != node).map(|n| ZONES[n % 2].into()).collect(),
         teams: (0..CPUS_MAX.len()).map(team).collect(),
         objectives: vec![Objective::Finished { class: "c".into(), within_s: 60.0 }],
--- a/crates/basaltrail-core/tests/simulation/simulated/nodes.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/nodes.rs
@@ -22,10 +22,6 @@
                     let at = goes + self.delay();
                     match asker {
                         Asker::Worker(who, n) => {
-                            let leads = self.nodes[i].node.as_ref().is_some_and(Process::leading);
-                            if !leads && matches!(answer, Answer::Orders { .. }) {
-                                self.meet("answered by a deputy");
-                            }
                             if self.nodes[i].version.acts_on_old_word() {
                                 self.old_word_at = Some(goes);
                             }
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -21,7 +21,6 @@
         nodes: 3,
         zones: vec!["a".into()],
         peer_zones: vec!["a".into(), "a".into()],
-        next_zone: "a".into(),
         teams: vec![team("wide", 64.0), team("narrow", 8.0), team("tiny", 4.0)],
         objectives: Vec::new(),
         report_ms: 1_000,
--- a/crates/basaltrail/src/settings.rs
+++ b/crates/basaltrail/src/settings.rs
@@ -41,23 +41,11 @@
 
 #[derive(Deserialize)]
 struct Member {
-    #[serde(default)]
-    node_name: String,
     #[serde(default)]
     zone: String,
     endpoint: String,
 }
 
-/// The zone of the node that follows this one in the order of names, the first after the last.
-fn next_zone(file: &File) -> String {
-    let mut nodes: Vec<(&str, &str)> =
-        file.members.iter().map(|member| (&*member.node_name, &*member.zone)).collect();
-    nodes.push((&file.node_name, &file.zone));
-    nodes.sort();
-    let own = nodes.iter().position(|(name, _)| *name == file.node_name).unwrap_or(0);
-    nodes[(own + 1) % nodes.len()].1.to_string()
-}
-
 #[derive(Deserialize)]
 struct Endpoints {
     cloud: String,
@@ -241,13 +229,11 @@
     let write_rps = least("write_rps", now.write_rps, next.and_then(|n| n.write_rps), 0.0)?;
     let value_kb = least("value_kb", now.value_kb, next.and_then(|n| n.value_kb), VALUE_KB_LEAST)?;
     let txn_ops = least("txn_ops", ops(now.txn_ops), next.and_then(|n| n.txn_ops).map(ops), 2.0)?;
-    let next_zone = next_zone(&f);
     let core = Settings {
         node: f.node_name,
         zone: f.zone,
         nodes: p.size.max(f.members.len() + 1),
         zones: p.zones.clone(),
-        next_zone,
         peer_zones: f.members.iter().map(|m| m.zone.clone()).collect(),
         teams,
         objectives: p.objectives.iter().filter_map(ObjectiveEntry::read).collect(),
