--- a/crates/basaltrail-core/src/budget.rs
+++ b/crates/basaltrail-core/src/budget.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
     Lease,
-    Door,
+    Request,
     Completion,
     Rest,
 }
@@ -36,7 +36,7 @@
         self.level = (self.level + dt * self.rate).min(self.burst);
         let keep = match class {
             Class::Lease => -1.0,
-            Class::Door => 0.05,
+            Class::Request => 0.05,
             Class::Completion => 0.15,
             Class::Rest => 0.3,
         } * self.burst;
--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -2,10 +2,10 @@
 
 use crate::budget::{Bucket, Class};
 use crate::election::Call;
-use crate::frontdoor::{Ask, Confirming, NewJob};
 use crate::io::*;
+use crate::leadership::PendingWrite;
 use crate::model::*;
-use crate::reign::Flush;
+use crate::requests::{Ask, Confirming, NewJob};
 use std::collections::HashMap;
 
 /// What an answer is for.
@@ -22,7 +22,7 @@
     TypesPut,
     Types,
     Load { token: Token },
-    Flush { token: Token, flush: Box<Flush> },
+    PendingWrite { token: Token, flush: Box<PendingWrite> },
     Refresh { token: Token, key: String },
     Rent { token: Token, requisition: String },
     Release { token: Token, machines: Vec<MachineId> },
--- a/crates/basaltrail-core/src/fleet.rs
+++ b/crates/basaltrail-core/src/fleet.rs
@@ -90,7 +90,7 @@
 /// another node, so one that is back sooner took our answer.
 const UNANSWERED_MS: Ms = 4000;
 /// Answers to a machine that does not show our token, before it is let go.
-pub const GREETINGS: u32 = 3;
+pub const ANSWERS_WITHOUT_TOKEN: u32 = 3;
 
 pub struct Machine {
     pub id: MachineId,
@@ -113,12 +113,12 @@
     /// Answers with starts in a row of which the next report showed nothing.
     pub unseen: u32,
     pub deaf_until: Ms,
-    /// Rented in this reign: whatever it reports is of this reign.
+    /// Rented in this leadership: whatever it reports is of this leadership.
     pub ours: bool,
     /// Answers given while it had not shown our token.
-    pub greeted: u32,
-    /// In this reign it has reported with our token, or surely holds nothing of earlier leaders.
-    pub accounted: bool,
+    pub answers_without_token: u32,
+    /// In this leadership it has reported with our token, or surely holds nothing of earlier leaders.
+    pub reconciled: bool,
     /// The roster that an earlier leader left says that it was in use.
     pub expected: bool,
     /// Its lease has surely ended since it last reported.
@@ -138,7 +138,7 @@
     pub late: bool,
     /// It is late by so much that it goes back.
     pub given_up: bool,
-    /// It was rented in this reign, or listed as on its way, so long ago.
+    /// It was rented in this leadership, or listed as on its way, so long ago.
     pub asked_at: Option<Ms>,
     pub listed: Option<(ListedState, Ms)>,
     /// When it was first seen in the cloud's list.
@@ -167,8 +167,8 @@
             unseen: 0,
             deaf_until: 0,
             ours: false,
-            greeted: 0,
-            accounted: true,
+            answers_without_token: 0,
+            reconciled: true,
             expected: false,
             lapsed: false,
             entries: BTreeMap::new(),
@@ -251,7 +251,7 @@
     /// reports of that session can only be late ones.
     pub fn lapse(&mut self) -> Vec<Change> {
         self.lapsed = true;
-        self.accounted = true;
+        self.reconciled = true;
         if self.session > 0 {
             self.min_session = self.session + 1;
         }
@@ -268,12 +268,12 @@
     /// it proves nothing, and only the lease that our answer may renew is noted. A machine
     /// of the roster that never takes our token is let go after a few answers, so that
     /// its lease surely ends and what earlier leaders started there is over.
-    pub fn greet(&mut self, now: Ms) -> bool {
-        if !self.accounted {
-            if self.greeted >= GREETINGS {
+    pub fn answer_without_token(&mut self, now: Ms) -> bool {
+        if !self.reconciled {
+            if self.answers_without_token >= ANSWERS_WITHOUT_TOKEN {
                 return false;
             }
-            self.greeted += 1;
+            self.answers_without_token += 1;
             self.renewed = now;
         }
         true
@@ -281,14 +281,14 @@
 
     /// Takes a newer report, one that a worker sent by itself: the bodies of answers to
     /// direct commands may be made while a start is still on its way, and settle nothing.
-    /// It carries our token, so it was made after the worker took an answer of this reign:
+    /// It carries our token, so it was made after the worker took an answer of this leadership:
     /// nothing of earlier leaders was on its way by then.
     pub fn report(&mut self, now: Ms, r: &Report, lease_ms: Ms) -> Vec<Change> {
         let mut changes = Vec::new();
         // A worker without an answer waits for it and then asks another node first.
         let back = self.last_checkin.is_some_and(|t| now < t + UNANSWERED_MS);
-        self.hears = back || !self.accounted || self.session == 0;
-        self.accounted = true;
+        self.hears = back || !self.reconciled || self.session == 0;
+        self.reconciled = true;
         if r.session > self.session && self.session > 0 {
             changes = self.drop_all();
         }
--- a/crates/basaltrail-core/src/health.rs
+++ b/crates/basaltrail-core/src/health.rs
@@ -111,27 +111,27 @@
 /// Jobs that failed on a machine and ended well elsewhere, since one ended well there.
 #[derive(Debug, Default)]
 pub struct MachineHealth {
-    blamed_by: BTreeSet<JobId>,
+    failed_jobs: BTreeSet<JobId>,
     since: Ms,
 }
 
 impl MachineHealth {
     /// Failures of one job count once, however many of its tasks were there.
-    pub fn blame(&mut self, job: JobId, now: Ms) {
-        if self.blamed_by.len() < FAULTY && self.blamed_by.insert(job) {
+    pub fn count_failure(&mut self, job: JobId, now: Ms) {
+        if self.failed_jobs.len() < FAULTY && self.failed_jobs.insert(job) {
             self.since = now;
         }
     }
 
     pub fn ended_well(&mut self) {
-        self.blamed_by.clear();
+        self.failed_jobs.clear();
     }
 
     /// Whether it gets no more work. Where few jobs run, one must do: nobody else comes
     /// to bear it out while the only job keeps away.
     pub fn faulty(&self, idle_since: Option<Ms>, now: Ms, lease_ms: Ms) -> bool {
         let alone = || idle_since.is_some_and(|t| now > t.max(self.since) + lease_ms);
-        self.blamed_by.len() >= FAULTY || (!self.blamed_by.is_empty() && alone())
+        self.failed_jobs.len() >= FAULTY || (!self.failed_jobs.is_empty() && alone())
     }
 }
 
--- a/crates/basaltrail-core/src/health_tests.rs
+++ b/crates/basaltrail-core/src/health_tests.rs
@@ -59,15 +59,15 @@
 fn a_machine_is_judged_by_different_jobs() {
     let mut m = MachineHealth::default();
     for _ in 0..20 {
-        m.blame(JobId(1), 1_000);
+        m.count_failure(JobId(1), 1_000);
     }
     assert!(!m.faulty(None, 2_000, 10_000));
-    m.blame(JobId(2), 2_000);
+    m.count_failure(JobId(2), 2_000);
     assert!(m.faulty(None, 2_000, 10_000));
     m.ended_well();
     assert!(!m.faulty(None, 2_000, 10_000));
     // Only one job runs, and it keeps away.
-    m.blame(JobId(1), 3_000);
+    m.count_failure(JobId(1), 3_000);
     assert!(!m.faulty(Some(3_000), 12_000, 10_000));
     assert!(m.faulty(Some(3_000), 13_001, 10_000));
     assert!(!MachineHealth::default().faulty(Some(0), 90_000, 10_000));
--- a/crates/basaltrail-core/src/reign/listing.rs
+++ b/crates/basaltrail-core/src/leadership/listing.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-impl Reign {
-    pub fn list_answer(&mut self, ctx: &Ctx, calls: &mut Calls, reply: CloudReply) {
+impl Leadership {
+    pub fn list_answer(&mut self, ctx: &Context, calls: &mut Calls, reply: CloudReply) {
         self.rental.list_in_flight = false;
         let CloudReply::Listed { machines, more } = reply else {
             self.rental.next_list = ctx.now + ctx.cfg.lease_ms / 10;
@@ -19,7 +19,7 @@
         }
         self.rental.next_list = ctx.now + (ctx.cfg.list_lag_ms / 2).max(1000);
         if !more {
-            self.strike_unlisted(ctx, calls, &all);
+            self.remove_unlisted(ctx, calls, &all);
         }
         for l in all {
             if self.returned.contains(&l.machine) {
@@ -45,13 +45,18 @@
             m.asked_at = asked_at;
             calls.log(Level::Info, "machine_found", format!("machine={}", l.machine));
             self.machines.insert(l.machine.clone(), m);
-            self.enroll(ctx, &l.machine);
+            self.add_to_roster(ctx, &l.machine);
         }
     }
 
     /// Machines that a list shows to be gone: one that was listed stays listed until it is
     /// gone, and a list is at most two lags old. What ran there need not wait for its lease.
-    pub(super) fn strike_unlisted(&mut self, ctx: &Ctx, calls: &mut Calls, all: &[ListedMachine]) {
+    pub(super) fn remove_unlisted(
+        &mut self,
+        ctx: &Context,
+        calls: &mut Calls,
+        all: &[ListedMachine],
+    ) {
         let oldest = ctx.cfg.list_lag_ms * 5 / 2 + 1000;
         let listed: HashSet<&MachineId> = all.iter().map(|l| &l.machine).collect();
         let gone: Vec<MachineId> = self
@@ -64,7 +69,7 @@
             .collect();
         for id in gone {
             calls.log(Level::Info, "machine_gone", format!("machine={id}"));
-            self.strike(ctx, calls, &id);
+            self.remove_gone(ctx, calls, &id);
         }
     }
 }
--- a/crates/basaltrail-core/src/reign/mod.rs
+++ b/crates/basaltrail-core/src/leadership/mod.rs
@@ -30,7 +30,7 @@
 
 /// What one pass of the core may look at.
 #[derive(Clone, Copy)]
-pub struct Ctx<'a> {
+pub struct Context<'a> {
     pub cfg: &'a Settings,
     pub types: &'a [MachineType],
     pub table: &'a Table,
@@ -38,7 +38,7 @@
     pub wall: WallMs,
     pub entitled: bool,
     /// Everything that ended before the right began is known: tasks may be started.
-    pub informed: bool,
+    pub view_is_fresh: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +51,7 @@
 
 /// A leader's transaction on its way.
 #[derive(Default)]
-pub struct Flush {
+pub struct PendingWrite {
     keys: Vec<String>,
     ends: Vec<JobId>,
     parts: Vec<(JobId, u32, String)>,
@@ -84,7 +84,7 @@
 
 /// Seconds a job can still lose, by objective that it may meet, the nearest last.
 /// Estimates are often wrong, so a little overdue still counts.
-fn spares_s(ctx: &Ctx, j: &RunJob) -> Vec<f64> {
+fn spares_s(ctx: &Context, j: &RunJob) -> Vec<f64> {
     let age = (ctx.wall - j.at) as f64 / 1000.0;
     let mut spares: Vec<f64> = ctx
         .cfg
@@ -99,7 +99,7 @@
 
 /// What the reply to a flush asks of the node.
 #[derive(Default)]
-pub struct Flushed {
+pub struct WriteOutcome {
     pub deposed: bool,
     pub ends: Vec<JobId>,
     pub read: Vec<JobId>,
@@ -171,7 +171,7 @@
     }
 }
 
-pub struct Reign {
+pub struct Leadership {
     pub token: Token,
     pub stamp: u64,
     pub since: Ms,
@@ -191,7 +191,7 @@
     fleet_cpus: f64,
     ledger_due: bool,
     home: Option<String>,
-    home_due: bool,
+    preferred_zone_due: bool,
     /// Zones that were cut off of late, and until when they count as such.
     cut_until: BTreeMap<String, Ms>,
     surplus_since: Option<Ms>,
@@ -254,9 +254,9 @@
     pub next_progress: Ms,
 }
 
-impl Reign {
-    pub fn new(ctx: &Ctx, token: Token, stamp: u64) -> Self {
-        let mut reign = Reign {
+impl Leadership {
+    pub fn new(ctx: &Context, token: Token, stamp: u64) -> Self {
+        let mut leadership = Leadership {
             token,
             stamp,
             since: ctx.now,
@@ -274,7 +274,7 @@
             fleet_cpus: 0.0,
             ledger_due: false,
             home: None,
-            home_due: false,
+            preferred_zone_due: false,
             cut_until: BTreeMap::new(),
             surplus_since: None,
             peak: f64::MAX,
@@ -316,16 +316,16 @@
             next_progress: 0,
         };
         for job in ctx.table.active.keys() {
-            reign.sync_job(ctx, *job);
+            leadership.sync_job(ctx, *job);
         }
-        reign
+        leadership
     }
 
     pub fn loaded(&self) -> bool {
         self.loading == Loading::Complete
     }
 
-    pub fn tick(&mut self, ctx: &Ctx, calls: &mut Calls, rng: &mut SmallRng) {
+    pub fn tick(&mut self, ctx: &Context, calls: &mut Calls, rng: &mut SmallRng) {
         self.load(ctx, calls);
         if !self.loaded() {
             return;
@@ -353,11 +353,11 @@
                 j.account.granted = 0.0;
             }
             self.ledger_due = true;
-            self.note_home();
+            self.note_preferred_zone();
             self.log_round(ctx, calls);
             self.changed = true;
         }
-        if (self.changed || ctx.now >= self.wake_at) && ctx.entitled && ctx.informed {
+        if (self.changed || ctx.now >= self.wake_at) && ctx.entitled && ctx.view_is_fresh {
             self.place(ctx, calls, rng);
         }
         self.flush(ctx, calls);
@@ -366,7 +366,7 @@
 
     /// Leases that have surely ended, and machines that went silent. Not at every input:
     /// their number times that of the machines would be all that a leader gets done.
-    fn watch_machines(&mut self, ctx: &Ctx, calls: &mut Calls) {
+    fn watch_machines(&mut self, ctx: &Context, calls: &mut Calls) {
         let lapse_after = ctx.cfg.surely(ctx.cfg.lease_ms);
         let silent_after = ctx.cfg.report_ms * 3;
         let lapses = |m: &Machine| !m.lapsed && ctx.now > m.renewed + lapse_after;
@@ -399,7 +399,7 @@
     }
 
     /// One line a round: how the machines are used.
-    fn log_round(&self, ctx: &Ctx, calls: &mut Calls) {
+    fn log_round(&self, ctx: &Context, calls: &mut Calls) {
         let mut count = [0usize; 3];
         for m in self.machines.values() {
             let up = m.last_checkin.is_some() && !m.lapsed;
--- a/crates/basaltrail-core/src/reign/placing.rs
+++ b/crates/basaltrail-core/src/leadership/placing.rs
@@ -15,16 +15,16 @@
     held: Option<MachineId>,
     /// Services that go before the ranking, and the room that is kept for more.
     pressing: Vec<JobId>,
-    ready: standing::Ready,
+    ready: standing::ReservedCapacity,
 }
 
-impl Reign {
+impl Leadership {
     pub(super) fn type_index(types: &[MachineType], name: &str) -> Option<usize> {
         types.iter().position(|t| t.name == name)
     }
 
-    pub(super) fn usable(&self, ctx: &Ctx, m: &Machine) -> bool {
-        m.accounted
+    pub(super) fn usable(&self, ctx: &Context, m: &Machine) -> bool {
+        m.reconciled
             && m.hears
             && ctx.now >= m.deaf_until
             && m.durable
@@ -37,7 +37,7 @@
     }
 
     /// What a machine has left for new tasks.
-    fn room(&self, ctx: &Ctx, m: &Machine) -> Option<Room> {
+    fn room(&self, ctx: &Context, m: &Machine) -> Option<Room> {
         let i = Self::type_index(ctx.types, &m.machine_type).filter(|_| self.usable(ctx, m))?;
         let (c, g, r) = m.used();
         let t = &ctx.types[i];
@@ -53,10 +53,10 @@
     }
 
     /// (cpus, gpus) per team that may be in use anywhere.
-    fn usage(&self, ctx: &Ctx) -> Vec<(f64, f64)> {
+    fn usage(&self, ctx: &Context) -> Vec<(f64, f64)> {
         let mut used = vec![(0.0, 0.0); ctx.cfg.teams.len()];
         for m in self.machines.values() {
-            let unsure = !m.accounted || m.entries.values().any(|e| e.holds() && e.need.is_none());
+            let unsure = !m.reconciled || m.entries.values().any(|e| e.holds() && e.need.is_none());
             if unsure {
                 // An earlier leader's tasks of any team may fill it.
                 let (c, g) = Self::type_index(ctx.types, &m.machine_type)
@@ -79,19 +79,19 @@
 
     /// Kinds of the machines on which tasks of earlier leaders may run that no report has
     /// shown to this leader yet.
-    fn unaccounted_kinds(&self) -> BTreeSet<Kind> {
-        self.machines.values().filter(|m| !m.accounted).map(Machine::kind).collect()
+    fn unreconciled_kinds(&self) -> BTreeSet<Kind> {
+        self.machines.values().filter(|m| !m.reconciled).map(Machine::kind).collect()
     }
 
     /// Whether an earlier leader may have started tasks of this job on a machine that has not
     /// reported to this leader. A job accepted since the takeover cannot have been started,
     /// and no leader of any version starts a task on a kind of machine that its job does
     /// not permit.
-    fn may_run_unseen(&self, job: &RunJob, unaccounted: &BTreeSet<Kind>) -> bool {
-        job.stamp <= self.stamp && unaccounted.iter().any(|kind| kind.permitted_by(&job.spec))
+    fn may_run_unseen(&self, job: &RunJob, unreconciled: &BTreeSet<Kind>) -> bool {
+        job.stamp <= self.stamp && unreconciled.iter().any(|kind| kind.permitted_by(&job.spec))
     }
 
-    fn accrue(&mut self, ctx: &Ctx) -> f64 {
+    fn accrue(&mut self, ctx: &Context) -> f64 {
         let teams = ctx.cfg.teams.len();
         let mut running = vec![0.0; teams];
         let mut by_job: HashMap<JobId, f64> = HashMap::new();
@@ -123,7 +123,7 @@
 
     /// Which jobs can be in time, team by team and the higher priorities first: a team may
     /// begin at once what it lacks of its share, and as much more as its tasks end.
-    pub(super) fn find_reach(&self, ctx: &Ctx, used: &[(f64, f64)]) -> HashMap<JobId, f64> {
+    pub(super) fn find_reach(&self, ctx: &Context, used: &[(f64, f64)]) -> HashMap<JobId, f64> {
         let mut reach = HashMap::new();
         for (team, (used, _)) in used.iter().enumerate() {
             let mut open: BTreeMap<Reverse<Priority>, Vec<Candidate>> = BTreeMap::new();
@@ -148,7 +148,7 @@
                 let c = Candidate { job: j.id, need, spares: spares_s(ctx, j) };
                 open.entry(Reverse(j.spec.priority)).or_default().push(c);
             }
-            let share = match ctx.cfg.teams[team].guest() {
+            let share = match ctx.cfg.teams[team].without_guarantee() {
                 // Nobody knows what the others will leave it. By its quota nothing of it
                 // could be in time, and its longest tasks would go first.
                 true => self.fleet_cpus,
@@ -166,7 +166,7 @@
         reach
     }
 
-    pub(super) fn place(&mut self, ctx: &Ctx, calls: &mut Calls, rng: &mut SmallRng) {
+    pub(super) fn place(&mut self, ctx: &Context, calls: &mut Calls, rng: &mut SmallRng) {
         if ctx.now < self.next_place || ctx.types.is_empty() {
             return;
         }
@@ -174,7 +174,7 @@
         self.next_place = ctx.now + ctx.cfg.report_ms / 20;
         self.fleet_cpus = self.accrue(ctx);
         self.visited += self.machines.values().map(|m| 1 + m.entries.len() as u64).sum::<u64>();
-        let unaccounted = self.unaccounted_kinds();
+        let unreconciled = self.unreconciled_kinds();
         let mut used = self.usage(ctx);
         let mut rooms: Vec<Room> =
             self.machines.values().filter_map(|m| self.room(ctx, m)).collect();
@@ -186,7 +186,7 @@
             if j.pending() > 0
                 && j.health.not_before() <= ctx.now
                 && !self.unknown.contains(&j.id)
-                && !self.may_run_unseen(j, &unaccounted)
+                && !self.may_run_unseen(j, &unreconciled)
             {
                 match j.health.suspect() {
                     true => tries.push(j.id),
@@ -229,7 +229,7 @@
                 waiting[*team].retain(|j| j != id);
             }
         }
-        let mut ready = self.stand_by(ctx, &mut rooms, &used);
+        let mut ready = self.reserve_capacity(ctx, &mut rooms, &used);
         // A large array may rank behind others for as long as more comes than can be done:
         // one that has waited this long gets its first task before the ranking.
         let mut unbegun: Vec<(WallMs, JobId, usize)> = waiting
@@ -281,11 +281,11 @@
         }
         let starving = self.starving(ctx);
         if blocked.iter().any(|id| starving.contains(id)) {
-            ready.give_back(&mut rooms);
+            ready.release_all(&mut rooms);
             for id in starving.iter().filter(|id| blocked.contains(id)) {
                 self.grant_one(ctx, *id, 1, &mut rooms, &mut used, rng);
             }
-            ready = self.stand_by(ctx, &mut rooms, &used);
+            ready = self.reserve_capacity(ctx, &mut rooms, &used);
         }
         pass.ready = ready;
         self.short_of_room = !blocked.is_empty();
@@ -303,9 +303,9 @@
     /// Places on the machine that reports now, by the ranking of the last pass, so that the
     /// answer carries the starts. Were they left to the next pass, they would go out with
     /// the answer to the next report, and its room would be idle until then.
-    pub(super) fn fill(&mut self, ctx: &Ctx, machine: &MachineId, rng: &mut SmallRng) {
+    pub(super) fn fill(&mut self, ctx: &Context, machine: &MachineId, rng: &mut SmallRng) {
         let room = self.machines.get(machine).and_then(|m| self.room(ctx, m));
-        let Some(room) = room.filter(|_| ctx.entitled && ctx.informed) else { return };
+        let Some(room) = room.filter(|_| ctx.entitled && ctx.view_is_fresh) else { return };
         let Some(mut pass) = self.pass.take() else { return };
         self.visited += 1;
         let mut rooms = vec![room];
@@ -355,7 +355,7 @@
     }
 
     /// Whether tasks of a job that the last pass ranked may still be started.
-    fn may_start(&self, ctx: &Ctx, id: &JobId) -> bool {
+    fn may_start(&self, ctx: &Context, id: &JobId) -> bool {
         let ready = |j: &RunJob| j.pending() > 0 && j.health.not_before() <= ctx.now;
         self.jobs.get(id).is_some_and(ready) && !self.unknown.contains(id)
     }
@@ -365,7 +365,7 @@
     }
 
     /// Tasks of a job that its team's limit still allows.
-    pub(super) fn limit_room(&self, ctx: &Ctx, id: JobId, used: &[(f64, f64)]) -> u32 {
+    pub(super) fn limit_room(&self, ctx: &Context, id: JobId, used: &[(f64, f64)]) -> u32 {
         let Some(j) = self.jobs.get(&id) else { return 0 };
         ctx.cfg.teams[j.team].room(used[j.team], &j.spec).min(j.pending())
     }
@@ -374,7 +374,7 @@
     /// that enough for one of its tasks comes free there.
     fn hold(
         &self,
-        ctx: &Ctx,
+        ctx: &Context,
         id: JobId,
         rooms: &mut Vec<Room>,
         used: &mut [(f64, f64)],
@@ -397,7 +397,7 @@
     /// nothing fits.
     fn grant_one(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         id: JobId,
         most: u32,
         rooms: &mut Vec<Room>,
@@ -418,7 +418,7 @@
     /// by what is stopped at once.
     fn next_job(
         &self,
-        ctx: &Ctx,
+        ctx: &Context,
         heads: impl Iterator<Item = (usize, JobId)>,
         used: &[(f64, f64)],
     ) -> Option<(usize, JobId)> {
@@ -440,7 +440,7 @@
     /// Within a team: jobs that can still be in time for an objective, the one with the
     /// least time to lose first; then the others. Ranked once a pass: what a grant changes
     /// keeps a job where it is.
-    fn rank(&self, ctx: &Ctx, ids: &mut Vec<JobId>) {
+    fn rank(&self, ctx: &Context, ids: &mut Vec<JobId>) {
         let key = |j: &RunJob| {
             let spare = self.reach.get(&j.id).copied();
             let work = j.pending() as f64 * j.spec.cpus * j.spec.estimate_s;
@@ -484,7 +484,7 @@
     /// Places tasks of one job on one machine; gives how many.
     fn grant(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         id: JobId,
         most: u32,
         rooms: &mut Vec<Room>,
--- a/crates/basaltrail-core/src/reign/placing_tests.rs
+++ b/crates/basaltrail-core/src/leadership/placing_tests.rs
@@ -21,18 +21,18 @@
     };
     let mut table = Table::new(10);
     table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(100, true) });
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &[],
         table: &table,
         now: 0,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
-    let mut reign = Reign::new(&ctx, Token(2), 1);
-    reign.fleet_cpus = 1_000.0;
-    assert!(reign.find_reach(&ctx, &[(0.0, 0.0); 2]).contains_key(&JobId(1)));
-    reign.fleet_cpus = 50.0;
-    assert!(!reign.find_reach(&ctx, &[(0.0, 0.0); 2]).contains_key(&JobId(1)));
+    let mut leadership = Leadership::new(&ctx, Token(2), 1);
+    leadership.fleet_cpus = 1_000.0;
+    assert!(leadership.find_reach(&ctx, &[(0.0, 0.0); 2]).contains_key(&JobId(1)));
+    leadership.fleet_cpus = 50.0;
+    assert!(!leadership.find_reach(&ctx, &[(0.0, 0.0); 2]).contains_key(&JobId(1)));
 }
--- a/crates/basaltrail-core/src/reign/preempting.rs
+++ b/crates/basaltrail-core/src/leadership/preempting.rs
@@ -25,10 +25,10 @@
     }
 }
 
-impl Reign {
+impl Leadership {
     /// Tasks that may be stopped for others, in the order of [`Victim`]. Checkpointing work
     /// only: what cannot save would lose all it has done.
-    pub(super) fn victims(&self, ctx: &Ctx) -> Vec<Victim> {
+    pub(super) fn victims(&self, ctx: &Context) -> Vec<Victim> {
         let mut victims: Vec<Victim> = Vec::new();
         for m in self.machines.values().filter(|m| self.usable(ctx, m)) {
             for (key, e) in &m.entries {
@@ -53,7 +53,7 @@
     }
 
     /// CPUs that are free, or come free as tasks are stopped.
-    fn coming_room(&self, ctx: &Ctx, rooms: &[Room]) -> ComingRoom {
+    fn coming_room(&self, ctx: &Context, rooms: &[Room]) -> ComingRoom {
         let mut coming = ComingRoom::default();
         for room in rooms {
             let machine_type = ctx.types[room.type_index].name.clone();
@@ -73,7 +73,7 @@
     /// Makes room for work that must not wait, at the cost of work that can save.
     pub(super) fn preempt(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         calls: &mut Calls,
         blocked: &[JobId],
         used: &[(f64, f64)],
--- a/crates/basaltrail-core/src/reign/preempting_tests.rs
+++ b/crates/basaltrail-core/src/leadership/preempting_tests.rs
@@ -7,16 +7,16 @@
 #[test]
 fn first_tasks_are_not_stopped_as_they_begin() {
     let (cfg, types, table) = (settings(), [a_type()], Table::new(10));
-    let at = |now| Ctx {
+    let at = |now| Context {
         cfg: &cfg,
         types: &types,
         table: &table,
         now,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
-    let mut reign = Reign::new(&at(0), Token(2), 1);
+    let mut leadership = Leadership::new(&at(0), Token(2), 1);
     let spec = a_job(9, true);
     let id = MachineId("m-1".into());
     let mut m = Machine::new(id.clone(), "x", "a", true, 0);
@@ -42,10 +42,10 @@
         };
         m.entries.insert((TaskId { job: JobId(1), index }, Attempt(index as u64)), e);
     }
-    reign.machines.insert(id.clone(), m);
+    leadership.machines.insert(id.clone(), m);
     let mut victims = |now| {
-        reign.machines.get_mut(&id).unwrap().last_checkin = Some(now);
-        reign.victims(&at(now)).len()
+        leadership.machines.get_mut(&id).unwrap().last_checkin = Some(now);
+        leadership.victims(&at(now)).len()
     };
     assert_eq!((victims(5_000), victims(30_500), victims(36_000)), (0, 1, 2));
 }
@@ -73,16 +73,16 @@
     table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(99, true) });
     table.put_active(JobId(2), 2, JobRecord { at: 0, spec: service.clone() });
     let now = 60_000;
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &types,
         table: &table,
         now,
         wall: now as WallMs,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
-    let mut reign = Reign::new(&ctx, Token(2), 1);
+    let mut leadership = Leadership::new(&ctx, Token(2), 1);
     // One replica runs in zone a, where no other may go.
     let kinds = [("m-1", "a", false), ("m-2", "b", true), ("m-3", "b", false), ("m-4", "a", false)];
     for (index, (name, zone, spot)) in kinds.into_iter().enumerate() {
@@ -112,9 +112,9 @@
         };
         let task = TaskId { job, index: index as u32 };
         machine.entries.insert((task, Attempt(index as u64)), entry);
-        reign.machines.insert(machine.id.clone(), machine);
+        leadership.machines.insert(machine.id.clone(), machine);
     }
-    reign.reach.insert(JobId(2), 0.0);
+    leadership.reach.insert(JobId(2), 0.0);
     let free_spot = Room {
         machine: MachineId("m-2".into()),
         type_index: 0,
@@ -124,8 +124,8 @@
         gpus: 0.0,
         memory_gb: 60.0,
     };
-    reign.preempt(&ctx, &mut Calls::default(), &[JobId(2)], &[(16.0, 0.0)], &[free_spot]);
-    let stopped: Vec<String> = reign
+    leadership.preempt(&ctx, &mut Calls::default(), &[JobId(2)], &[(16.0, 0.0)], &[free_spot]);
+    let stopped: Vec<String> = leadership
         .machines
         .values()
         .filter(|machine| machine.entries.values().any(|entry| entry.stop.is_some()))
--- a/crates/basaltrail-core/src/reign/renting.rs
+++ b/crates/basaltrail-core/src/leadership/renting.rs
@@ -2,11 +2,11 @@
 
 use super::*;
 
-impl Reign {
+impl Leadership {
     /// What the work at hand asks of each type: machines that it could use now, and
     /// CPU-seconds left by the owners' estimates. A job counts for the type that runs
     /// its tasks at the least price.
-    fn demand(&self, ctx: &Ctx) -> Vec<Demand> {
+    fn demand(&self, ctx: &Context) -> Vec<Demand> {
         let mut out = vec![Demand::default(); ctx.types.len()];
         let mut left: Vec<f64> = ctx.cfg.teams.iter().map(|t| t.cpus_max).collect();
         // Services are counted apart, see `standing`.
@@ -31,7 +31,7 @@
 
     /// Machines of this kind that jobs with wishes of their own still lack: few
     /// machines may be of a type, zone and kind that such a job allows.
-    fn lacking(&self, ctx: &Ctx, live: &[&Machine], kind: &Kind) -> usize {
+    fn lacking(&self, ctx: &Context, live: &[&Machine], kind: &Kind) -> usize {
         let Some(i) = Self::type_index(ctx.types, &kind.machine_type) else { return 0 };
         let t = &ctx.types[i];
         let wishes = |s: &JobSpec| !s.spot || s.zone.is_some() || s.types.is_some();
@@ -61,7 +61,7 @@
         most
     }
 
-    pub(super) fn cloud(&mut self, ctx: &Ctx, calls: &mut Calls) {
+    pub(super) fn cloud(&mut self, ctx: &Context, calls: &mut Calls) {
         if !ctx.entitled || ctx.types.is_empty() {
             return;
         }
@@ -84,7 +84,7 @@
         }
         let due = |r: &&mut Request| !r.in_flight && ctx.now >= r.not_before;
         for r in self.rental.pending.iter_mut().filter(due) {
-            if !calls.cloud.take(ctx.now, 1.0, Class::Door) {
+            if !calls.cloud.take(ctx.now, 1.0, Class::Request) {
                 break;
             }
             r.in_flight = true;
@@ -104,7 +104,7 @@
     /// is an aim, so it always counts: the summed guarantees are held ready on the
     /// cheapest machines, and a dearer one must find work for [`DEAR_PAYS`] of its boot
     /// time, as many times as it is dearer.
-    fn plan(&mut self, ctx: &Ctx, calls: &mut Calls) {
+    fn plan(&mut self, ctx: &Context, calls: &mut Calls) {
         let per_cpu = |t: &MachineType, spot: bool| {
             let price = if spot { t.spot_price.min(t.price) } else { t.price };
             price / t.cpus.max(1e-9)
@@ -196,7 +196,7 @@
             };
             self.rental.counter += 1;
             self.rental.pending.push(Request {
-                // Never used again: the token is this reign's alone.
+                // Never used again: the token is this leadership's alone.
                 requisition: format!("r-{}-{}", self.token.0, self.rental.counter),
                 kind,
                 count: n.min(RENT_MOST) as u32,
@@ -261,7 +261,7 @@
     }
 
     /// Marks the machines on their way that are not counted on any more.
-    fn note_late(&mut self, ctx: &Ctx) {
+    fn note_late(&mut self, ctx: &Context) {
         let boots = &self.rental.boots;
         let mut on_way = Vec::new();
         for m in self.machines.values_mut() {
@@ -279,7 +279,7 @@
 
     pub fn rent_answer(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         calls: &mut Calls,
         requisition: &str,
         reply: CloudReply,
@@ -310,7 +310,7 @@
                     m.ours = true;
                     m.asked_at = Some(ctx.now);
                     self.machines.insert(id.clone(), m);
-                    self.enroll(ctx, &id);
+                    self.add_to_roster(ctx, &id);
                 }
             }
             CloudReply::NoCapacity => {
--- a/crates/basaltrail-core/src/reign/renting_tests.rs
+++ b/crates/basaltrail-core/src/leadership/renting_tests.rs
@@ -13,29 +13,29 @@
     let types = [a_type()];
     let mut table = Table::new(10);
     table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &types,
         table: &table,
         now: 500,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
-    let mut reign = Reign::new(&ctx, Token(2), 1);
+    let mut leadership = Leadership::new(&ctx, Token(2), 1);
     let kind = Kind { machine_type: "x".into(), zone: "a".into(), spot: false };
-    assert_eq!(reign.lacking(&ctx, &[], &kind), 5);
+    assert_eq!(leadership.lacking(&ctx, &[], &kind), 5);
     // Machines beyond the team's limit would come and go idle.
     let narrow = Team { cpus_max: 16.0, ..cfg.teams[0].clone() };
     let narrow = Settings { teams: vec![narrow], ..cfg.clone() };
-    let limited = Ctx { cfg: &narrow, ..ctx };
-    assert_eq!(reign.lacking(&limited, &[], &kind), 2);
-    let job = reign.jobs.get_mut(&JobId(1)).unwrap();
+    let limited = Context { cfg: &narrow, ..ctx };
+    assert_eq!(leadership.lacking(&limited, &[], &kind), 2);
+    let job = leadership.jobs.get_mut(&JobId(1)).unwrap();
     for m in ["m-1", "m-2"] {
         job.health.failed(&MachineId(m.into()), 500, cfg.lease_ms);
     }
-    assert_eq!(reign.lacking(&ctx, &[], &kind), 1);
-    assert_eq!(reign.demand(&ctx)[0].machines, 0.5);
+    assert_eq!(leadership.lacking(&ctx, &[], &kind), 1);
+    assert_eq!(leadership.demand(&ctx)[0].machines, 0.5);
 }
 
 /// A guest's array of 100,000 tasks asks for more machines than can report to a leader.
@@ -48,18 +48,18 @@
     let types = [a_type()];
     let mut table = Table::new(10);
     table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &types,
         table: &table,
         now: 500,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
-    let mut reign = Reign::new(&ctx, Token(2), 1);
-    reign.plan(&ctx, &mut Calls::default());
-    assert_eq!(reign.rental.asked(|_| true), 70);
+    let mut leadership = Leadership::new(&ctx, Token(2), 1);
+    leadership.plan(&ctx, &mut Calls::default());
+    assert_eq!(leadership.rental.asked(|_| true), 70);
 }
 
 /// A machine that never came stood for room for as long as four boots and two leases,
@@ -72,30 +72,30 @@
     let types = [a_type()];
     let mut table = Table::new(10);
     table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &types,
         table: &table,
         now: 500,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
     let calls = &mut Calls::default();
-    let mut reign = Reign::new(&ctx, Token(2), 1);
-    reign.plan(&ctx, calls);
-    assert_eq!(reign.rental.asked(|_| true), 5);
-    let zone = reign.rental.pending[0].kind.zone.clone();
-    let name = reign.rental.pending[0].requisition.clone();
+    let mut leadership = Leadership::new(&ctx, Token(2), 1);
+    leadership.plan(&ctx, calls);
+    assert_eq!(leadership.rental.asked(|_| true), 5);
+    let zone = leadership.rental.pending[0].kind.zone.clone();
+    let name = leadership.rental.pending[0].requisition.clone();
     let ids = (0..5).map(|i| MachineId(format!("m-{i}").into())).collect();
-    reign.rent_answer(&ctx, calls, &name, CloudReply::Rented(ids));
-    reign.plan(&Ctx { now: 45_000, ..ctx }, calls);
-    assert_eq!(reign.rental.asked(|_| true), 0, "they may still come");
-    reign.plan(&Ctx { now: 51_000, ..ctx }, calls);
-    assert_eq!(reign.rental.asked(|_| true), 5);
-    let there = reign.rental.asked(|k| k.zone == zone);
+    leadership.rent_answer(&ctx, calls, &name, CloudReply::Rented(ids));
+    leadership.plan(&Context { now: 45_000, ..ctx }, calls);
+    assert_eq!(leadership.rental.asked(|_| true), 0, "they may still come");
+    leadership.plan(&Context { now: 51_000, ..ctx }, calls);
+    assert_eq!(leadership.rental.asked(|_| true), 5);
+    let there = leadership.rental.asked(|k| k.zone == zone);
     assert!(there <= 2, "{there} more where none came");
     // Nobody is rented a third time, and those that never came go back.
-    reign.plan(&Ctx { now: 81_000, ..ctx }, calls);
-    assert!(reign.machines.values().all(|m| m.given_up));
+    leadership.plan(&Context { now: 81_000, ..ctx }, calls);
+    assert!(leadership.machines.values().all(|m| m.given_up));
 }
--- a/crates/basaltrail-core/src/reign/reports.rs
+++ b/crates/basaltrail-core/src/leadership/reports.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl Reign {
+impl Leadership {
     pub(super) fn need(&self, job: JobId) -> Option<Need> {
         let j = self.jobs.get(&job)?;
         Some(Need {
@@ -17,7 +17,7 @@
 
     pub(super) fn change(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         machine: &MachineId,
         change: Change,
     ) -> Option<String> {
@@ -95,7 +95,7 @@
                     Why::Error | Why::Done => {
                         let first = j.health.failed(machine, now, ctx.cfg.lease_ms);
                         if j.health.proven() {
-                            m.health.blame(task.job, now);
+                            m.health.count_failure(task.job, now);
                         }
                         // A line for each task of an array would be thousands.
                         return first.then(|| {
@@ -116,7 +116,7 @@
                 // It was not the job.
                 for other in failed_before.iter().filter(|o| *o != machine) {
                     if let Some(m) = self.machines.get_mut(other) {
-                        m.health.blame(task.job, now);
+                        m.health.count_failure(task.job, now);
                     }
                 }
                 None
@@ -126,7 +126,7 @@
 
     pub(super) fn apply(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         calls: &mut Calls,
         machine: &MachineId,
         changes: Vec<Change>,
@@ -141,7 +141,7 @@
     /// Answers a worker that reported to us while we are entitled.
     pub fn checkin(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         calls: &mut Calls,
         r: &Report,
         rng: &mut SmallRng,
@@ -158,12 +158,12 @@
             return Answer::Elsewhere { leader: None };
         }
         if r.token < self.token {
-            // Of an earlier reign, or the first word of a new machine: it may be a late
+            // Of an earlier leadership, or the first word of a new machine: it may be a late
             // copy. The answer carries our token, and the next report will.
             match self.machines.get_mut(&r.machine) {
                 Some(m) if m.ours => {}
                 Some(m) => {
-                    if !m.greet(ctx.now) {
+                    if !m.answer_without_token(ctx.now) {
                         return busy("no word with this token");
                     }
                     return Answer::Orders { token: self.token, orders: Vec::new() };
@@ -179,13 +179,13 @@
             self.machines.insert(r.machine.clone(), m);
             calls.log(Level::Info, "machine_adopted", format!("machine={}", r.machine));
         }
-        self.enroll(ctx, &r.machine);
+        self.add_to_roster(ctx, &r.machine);
         let Some(m) = self.machines.get_mut(&r.machine) else { return busy("unknown machine") };
         if !m.is_newer(r) {
             return busy("late report");
         }
         let first = m.last_checkin.is_none();
-        let usable = m.accounted && !m.lapsed && m.hears;
+        let usable = m.reconciled && !m.lapsed && m.hears;
         let changes = m.report(ctx.now, r, ctx.cfg.lease_ms);
         if first {
             self.changed = true;
@@ -205,20 +205,20 @@
         self.apply(ctx, calls, &r.machine, changes);
         self.note_free(&r.machine, false);
         self.note_images(ctx, &r.machine);
-        // A machine that was not accounted for, or late, has become one to place on, and
+        // A machine that was not reconciled for, or late, has become one to place on, and
         // its room may be what a waiting job lacks.
         let m = &self.machines[&r.machine];
         let room = Self::type_index(ctx.types, &m.machine_type)
             .is_some_and(|i| m.used().0 < ctx.types[i].cpus);
         self.changed |= !usable || (room && self.short_of_room);
-        if self.changed && ctx.informed {
+        if self.changed && ctx.view_is_fresh {
             self.place(ctx, calls, rng);
         }
         self.fill(ctx, &r.machine, rng);
         Answer::Orders { token: self.token, orders: self.orders(ctx, &r.machine) }
     }
 
-    fn note_images(&mut self, ctx: &Ctx, machine: &MachineId) {
+    fn note_images(&mut self, ctx: &Context, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         let cache = ctx.types.iter().find(|t| t.name == m.machine_type).map_or(0.0, |t| t.cache_gb);
         let running: BTreeSet<JobId> =
@@ -271,7 +271,7 @@
         }
     }
 
-    fn orders(&mut self, ctx: &Ctx, machine: &MachineId) -> Vec<Order> {
+    fn orders(&mut self, ctx: &Context, machine: &MachineId) -> Vec<Order> {
         let mut orders = Vec::new();
         let Some(m) = self.machines.get_mut(machine) else { return orders };
         let repeat = ctx.cfg.report_ms * 3;
@@ -296,7 +296,7 @@
                         orders.push(Order::Forget { task, attempt });
                     }
                 }
-                Place::Assigned { .. } if !ctx.informed => {}
+                Place::Assigned { .. } if !ctx.view_is_fresh => {}
                 Place::Assigned { .. } => {
                     e.place = Place::Sent;
                     orders.push(Order::Start { task, attempt });
--- a/crates/basaltrail-core/src/reign/returning.rs
+++ b/crates/basaltrail-core/src/leadership/returning.rs
@@ -3,9 +3,9 @@
 use super::*;
 use crate::boot::NEVER;
 
-impl Reign {
+impl Leadership {
     /// Gives back what is drained, failed or lost.
-    pub(super) fn returns(&mut self, ctx: &Ctx, calls: &mut Calls) {
+    pub(super) fn returns(&mut self, ctx: &Context, calls: &mut Calls) {
         let ready = ctx.entitled && !ctx.types.is_empty();
         let busy = self.rental.release_in_flight || ctx.now < self.rental.release_not_before;
         if !ready || busy {
@@ -19,7 +19,8 @@
         // Those few that are silent when the others have spoken are most likely dead, and
         // the answer to their release makes sure of it sooner than their lease does. Many
         // silent ones of a zone are cut off, and come back.
-        let unheard = |m: &Machine| !m.accounted && m.greeted == 0 && m.last_checkin.is_none();
+        let unheard =
+            |m: &Machine| !m.reconciled && m.answers_without_token == 0 && m.last_checkin.is_none();
         let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for m in self.machines.values() {
             let zone = zones.entry(&m.zone).or_default();
@@ -53,7 +54,7 @@
                 "drained"
             } else if up && m.empty() && m.faulty(ctx.now, ctx.cfg.lease_ms) {
                 "faulty"
-            } else if up || !m.accounted {
+            } else if up || !m.reconciled {
                 continue;
             } else if failed {
                 "failed"
@@ -110,7 +111,7 @@
 
     /// Zones most of whose machines went silent: cut off rather than broken. They
     /// count as such for a while after, since their machines come back one by one.
-    pub(super) fn note_cuts(&mut self, ctx: &Ctx) {
+    pub(super) fn note_cuts(&mut self, ctx: &Context) {
         let mut count: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.last_checkin.is_some()) {
             let c = count.entry(&m.zone).or_default();
@@ -127,7 +128,7 @@
 
     /// Whether this node seems to have lost the workers: most of those that reported to
     /// it went silent, in its own zone too, well before their leases end.
-    pub(super) fn find_lost(&self, ctx: &Ctx) -> bool {
+    pub(super) fn find_lost(&self, ctx: &Context) -> bool {
         let silent_after = ctx.cfg.lease_ms * 2 / 5;
         let (mut all, mut silent, mut near, mut near_silent) = (0, 0, 0, 0);
         for m in self.machines.values().filter(|m| m.returning == Returning::No) {
@@ -144,7 +145,7 @@
     }
 
     /// Leaves word of the zone with the most machines.
-    pub(super) fn note_home(&mut self) {
+    pub(super) fn note_preferred_zone(&mut self) {
         let mut count: BTreeMap<&str, usize> = BTreeMap::new();
         for m in self.machines.values() {
             *count.entry(&m.zone).or_default() += 1;
@@ -152,13 +153,13 @@
         let home = count.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string());
         if home.is_some() && home != self.home {
             self.home = home;
-            self.home_due = true;
+            self.preferred_zone_due = true;
         }
     }
 
     pub fn release_answer(
         &mut self,
-        ctx: &Ctx,
+        ctx: &Context,
         calls: &mut Calls,
         machines: Vec<MachineId>,
         reply: CloudReply,
@@ -166,7 +167,7 @@
         self.rental.release_in_flight = false;
         if reply == CloudReply::Released {
             for id in machines {
-                self.strike(ctx, calls, &id);
+                self.remove_gone(ctx, calls, &id);
             }
         } else {
             // They stay marked: a release that was given up may still be carried out.
--- a/crates/basaltrail-core/src/reign/returning_tests.rs
+++ b/crates/basaltrail-core/src/leadership/returning_tests.rs
@@ -6,16 +6,16 @@
 #[test]
 fn nothing_is_rented_where_an_earlier_leaders_machines_are_silent() {
     let (cfg, table) = (settings(), Table::new(10));
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &[],
         table: &table,
         now: 500,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
-    let mut reign = Reign::new(&ctx, Token(2), 1);
+    let mut leadership = Leadership::new(&ctx, Token(2), 1);
     for i in 0..8 {
         let zone = if i < 4 { "a" } else { "b" };
         let id = MachineId(format!("m-{i}").into());
@@ -23,13 +23,13 @@
         m.expected = true;
         // Zone a has spoken, but for one; of zone b one was rented since.
         m.last_checkin = (i < 3).then_some(400);
-        reign.machines.insert(id, m);
+        leadership.machines.insert(id, m);
     }
     let new = MachineId("m-9".into());
-    reign.machines.insert(new.clone(), Machine::new(new, "x", "b", false, 400));
-    assert!(!reign.unheard("a") && reign.unheard("b"));
-    for m in reign.machines.values_mut().filter(|m| m.zone == "b").take(2) {
+    leadership.machines.insert(new.clone(), Machine::new(new, "x", "b", false, 400));
+    assert!(!leadership.unheard("a") && leadership.unheard("b"));
+    for m in leadership.machines.values_mut().filter(|m| m.zone == "b").take(2) {
         m.last_checkin = Some(500);
     }
-    assert!(!reign.unheard("b"), "half of its machines have spoken");
+    assert!(!leadership.unheard("b"), "half of its machines have spoken");
 }
--- a/crates/basaltrail-core/src/reign/roster.rs
+++ b/crates/basaltrail-core/src/leadership/roster.rs
@@ -3,9 +3,9 @@
 
 use super::*;
 
-impl Reign {
+impl Leadership {
     /// Puts a machine on the roster, as one where nothing runs yet.
-    pub(super) fn enroll(&mut self, ctx: &Ctx, machine: &MachineId) {
+    pub(super) fn add_to_roster(&mut self, ctx: &Context, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine).filter(|m| m.part.is_none()) else { return };
         let mut entry = RosterEntry {
             id: m.id.clone(),
@@ -46,7 +46,7 @@
     }
 
     /// The machine is gone for certain: its release was answered.
-    pub(super) fn strike(&mut self, ctx: &Ctx, calls: &mut Calls, machine: &MachineId) {
+    pub(super) fn remove_gone(&mut self, ctx: &Context, calls: &mut Calls, machine: &MachineId) {
         let Some(mut m) = self.machines.remove(machine) else { return };
         let changes = m.lapse();
         self.apply(ctx, calls, machine, changes);
@@ -64,7 +64,7 @@
     /// anything is added to them. What moves is written in its new place first, and only
     /// then is the old one overwritten, so that each name is somewhere at any moment; a
     /// leader that comes in between finds some twice.
-    pub(super) fn mend_roster(&mut self, ctx: &Ctx) {
+    pub(super) fn mend_roster(&mut self, ctx: &Context) {
         self.join_twice_named();
         let most = ctx.cfg.value_bytes * 9 / 10;
         for part in 0..self.roster.len() {
@@ -126,7 +126,7 @@
             e.free &= second.free;
             let free = e.free;
             if let Some(m) = self.machines.get_mut(&second.id) {
-                (m.accounted, m.expected) = (free, !free);
+                (m.reconciled, m.expected) = (free, !free);
                 // What is there now may say that nothing runs, in the one part or the other.
                 m.durable = !kept_free && !second.free;
                 m.part = Some(at);
--- a/crates/basaltrail-core/src/reign/roster_tests.rs
+++ b/crates/basaltrail-core/src/leadership/roster_tests.rs
@@ -14,8 +14,8 @@
         self.parts.values().flat_map(|v| decode::<Vec<RosterEntry>>(v).unwrap()).collect()
     }
 
-    fn load(&self, ctx: &Ctx) -> Reign {
-        let mut reign = Reign::new(ctx, Token(2), 1);
+    fn load(&self, ctx: &Context) -> Leadership {
+        let mut leadership = Leadership::new(ctx, Token(2), 1);
         let calls = &mut Calls::default();
         let rows = |items| StateReply::Rows { items, more: false, revision: self.revision };
         let item = |(k, v): (&String, &String)| Item {
@@ -24,19 +24,19 @@
             stamp: 1,
             loan: None,
         };
-        reign.load_answer(ctx, calls, rows(self.parts.iter().map(item).collect()));
-        reign.load_answer(ctx, calls, rows(Vec::new()));
-        reign.load_answer(ctx, calls, StateReply::Missing);
-        assert!(reign.loaded());
-        reign
+        leadership.load_answer(ctx, calls, rows(self.parts.iter().map(item).collect()));
+        leadership.load_answer(ctx, calls, rows(Vec::new()));
+        leadership.load_answer(ctx, calls, StateReply::Missing);
+        assert!(leadership.loaded());
+        leadership
     }
 
     /// Carries out one flush; false if there was none.
-    fn flush(&mut self, ctx: &Ctx, reign: &mut Reign) -> bool {
+    fn flush(&mut self, ctx: &Context, leadership: &mut Leadership) -> bool {
         let mut calls = Calls::default();
         calls.writes.set_rate(1e6);
         calls.state.set_rate(1e6);
-        reign.flush(ctx, &mut calls);
+        leadership.flush(ctx, &mut calls);
         let Some(Effect::State { op, call: StateOp::Txn { puts, removes, .. }, .. }) =
             calls.out.pop()
         else {
@@ -48,20 +48,20 @@
             assert!(p.value.len() <= ctx.cfg.value_bytes, "{} holds {}", p.key, p.value.len());
             self.parts.insert(p.key, p.value);
         }
-        let Some(Purpose::Flush { flush, .. }) = calls.take(op) else { panic!("no flush") };
-        reign.flush_answer(ctx, *flush, StateReply::Committed { revision: self.revision });
+        let Some(Purpose::PendingWrite { flush, .. }) = calls.take(op) else { panic!("no flush") };
+        leadership.flush_answer(ctx, *flush, StateReply::Committed { revision: self.revision });
         true
     }
 
     /// Each name is somewhere, and nowhere is free what a start may be made on.
-    fn check(&self, reign: &Reign, names: usize, busy: &dyn Fn(usize) -> bool) {
+    fn check(&self, leadership: &Leadership, names: usize, busy: &dyn Fn(usize) -> bool) {
         let entries = self.entries();
         for i in 0..names {
             let here: Vec<&RosterEntry> = entries.iter().filter(|e| e.id == id(i)).collect();
             assert!(!here.is_empty(), "{} is lost", id(i));
             let free = here.iter().all(|e| e.free);
             assert!(!busy(i) || !free, "{} passes for free", id(i));
-            let m = &reign.machines[&id(i)];
+            let m = &leadership.machines[&id(i)];
             assert!(!m.durable || here.iter().all(|e| !e.free), "{} is free somewhere", id(i));
         }
     }
@@ -91,48 +91,48 @@
 #[test]
 fn a_large_part_is_cut_without_losing_a_name() {
     let (cfg, table) = (limits(), Table::new(10));
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &[],
         table: &table,
         now: 500,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
     let busy = |i: usize| !i.is_multiple_of(3);
     for ends_after in 0..12 {
         let mut kept = Kept::default();
         kept.parts.insert(roster_key(0), part(0..40, |i| !busy(i)));
         kept.parts.insert(roster_key(1), part(40..43, |i| !busy(i)));
-        let mut reign = kept.load(&ctx);
+        let mut leadership = kept.load(&ctx);
         // Whichever part's turn it is.
-        reign.roster_last = ends_after % 8;
+        leadership.roster_last = ends_after % 8;
         let mut touched = BTreeSet::new();
         for step in 0..60 {
             if step == ends_after {
-                reign = kept.load(&ctx);
+                leadership = kept.load(&ctx);
                 touched.clear();
             }
             // Machines report while it goes on, and may be given work once that is kept.
             for i in [step * 7 % 43, (step * 7 + 12) % 43, (step * 7 + 30) % 43] {
-                reign.note_free(&id(i), false);
+                leadership.note_free(&id(i), false);
                 touched.insert(i);
             }
-            kept.flush(&ctx, &mut reign);
-            kept.check(&reign, 43, &|i| busy(i));
+            kept.flush(&ctx, &mut leadership);
+            kept.check(&leadership, 43, &|i| busy(i));
         }
         for _ in 0..200 {
-            reign.flush_not_before = 0;
-            if !kept.flush(&ctx, &mut reign) {
+            leadership.flush_not_before = 0;
+            if !kept.flush(&ctx, &mut leadership) {
                 break;
             }
-            kept.check(&reign, 43, &|i| busy(i));
+            kept.check(&leadership, 43, &|i| busy(i));
         }
-        assert!(reign.roster_waits.is_empty() && reign.roster_dirty.is_empty());
+        assert!(leadership.roster_waits.is_empty() && leadership.roster_dirty.is_empty());
         assert_eq!(kept.entries().len(), 43, "named once each in the end");
         assert!(kept.parts.values().all(|v| v.len() <= cfg.value_bytes));
-        assert!(touched.iter().all(|i| reign.machines[&id(*i)].durable), "no work for some");
+        assert!(touched.iter().all(|i| leadership.machines[&id(*i)].durable), "no work for some");
     }
 }
 
@@ -141,26 +141,26 @@
 #[test]
 fn a_name_in_two_parts_is_free_only_if_both_say_so() {
     let (cfg, table) = (limits(), Table::new(10));
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &[],
         table: &table,
         now: 500,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
     let mut kept = Kept::default();
     kept.parts.insert(roster_key(0), part(0..4, |i| i < 2));
     kept.parts.insert(roster_key(1), part(0..4, |i| i.is_multiple_of(2)));
-    let mut reign = kept.load(&ctx);
-    let accounted: Vec<bool> = (0..4).map(|i| reign.machines[&id(i)].accounted).collect();
-    assert_eq!(accounted, [true, false, false, false]);
-    assert!(!reign.machines[&id(1)].durable && !reign.machines[&id(2)].durable);
+    let mut leadership = kept.load(&ctx);
+    let reconciled: Vec<bool> = (0..4).map(|i| leadership.machines[&id(i)].reconciled).collect();
+    assert_eq!(reconciled, [true, false, false, false]);
+    assert!(!leadership.machines[&id(1)].durable && !leadership.machines[&id(2)].durable);
     for _ in 0..20 {
-        kept.flush(&ctx, &mut reign);
-        kept.check(&reign, 4, &|i| i > 0);
+        kept.flush(&ctx, &mut leadership);
+        kept.check(&leadership, 4, &|i| i > 0);
     }
     assert_eq!(kept.entries().len(), 4);
-    assert!(reign.machines[&id(1)].durable && reign.machines[&id(2)].durable);
+    assert!(leadership.machines[&id(1)].durable && leadership.machines[&id(2)].durable);
 }
--- a/crates/basaltrail-core/src/reign/standing.rs
+++ b/crates/basaltrail-core/src/leadership/standing.rs
@@ -34,14 +34,14 @@
 
 /// Room held ready in a pass.
 #[derive(Default)]
-pub(super) struct Ready {
+pub(super) struct ReservedCapacity {
     /// What is held of each machine.
     held: BTreeMap<MachineId, Room>,
     /// What found no room, by zone.
     short: Vec<(String, Arc<JobSpec>, u32)>,
 }
 
-impl Ready {
+impl ReservedCapacity {
     fn hold(&mut self, room: &mut Room, spec: &JobSpec, n: u32) {
         let none = || Room { cpus: 0.0, gpus: 0.0, memory_gb: 0.0, ..room.clone() };
         let held = self.held.entry(room.machine.clone()).or_insert_with(none);
@@ -52,7 +52,7 @@
     }
 
     /// Gives all of it back.
-    pub(super) fn give_back(self, rooms: &mut Vec<Room>) {
+    pub(super) fn release_all(self, rooms: &mut Vec<Room>) {
         for held in self.held.into_values() {
             match rooms.iter_mut().find(|r| r.machine == held.machine) {
                 Some(r) => {
@@ -95,8 +95,8 @@
         && types[room.type_index].allowed(spec)
 }
 
-impl Reign {
-    pub(super) fn note_shape(&mut self, ctx: &Ctx, spec: &Arc<JobSpec>) {
+impl Leadership {
+    pub(super) fn note_shape(&mut self, ctx: &Context, spec: &Arc<JobSpec>) {
         if !presses(spec) {
             return;
         }
@@ -115,7 +115,7 @@
 
     /// Whether another replica of this service has run for a while: its failure here is then
     /// not the service's.
-    pub(super) fn service_stands(&self, ctx: &Ctx, task: TaskId) -> bool {
+    pub(super) fn service_stands(&self, ctx: &Context, task: TaskId) -> bool {
         let Some(j) = self.jobs.get(&task.job).filter(|j| j.spec.is_service()) else {
             return false;
         };
@@ -133,8 +133,13 @@
     }
 
     /// Holds room ready on the machines that have some, within the guarantees.
-    pub(super) fn stand_by(&self, ctx: &Ctx, rooms: &mut Vec<Room>, used: &[(f64, f64)]) -> Ready {
-        let mut ready = Ready::default();
+    pub(super) fn reserve_capacity(
+        &self,
+        ctx: &Context,
+        rooms: &mut Vec<Room>,
+        used: &[(f64, f64)],
+    ) -> ReservedCapacity {
+        let mut ready = ReservedCapacity::default();
         let mut left: Vec<f64> =
             ctx.cfg.teams.iter().zip(used).map(|(t, (used, _))| t.cpus - used).collect();
         for shape in self.shapes.values().filter(|s| s.until > ctx.now) {
@@ -166,7 +171,7 @@
 
     /// Jobs of which nothing has run for long: room held ready is no reason to leave them
     /// waiting beside it.
-    pub(super) fn starving(&mut self, ctx: &Ctx) -> Vec<JobId> {
+    pub(super) fn starving(&mut self, ctx: &Context) -> Vec<JobId> {
         let mut out = Vec::new();
         for j in self.jobs.values_mut() {
             let bare = j.ended.is_none() && j.pending() > 0 && j.placed.is_empty();
@@ -181,7 +186,7 @@
     }
 
     /// Machines of a kind that the services need, with what is held ready for more of them.
-    pub(super) fn standing(&self, ctx: &Ctx, kind: &Kind) -> usize {
+    pub(super) fn standing(&self, ctx: &Context, kind: &Kind) -> usize {
         let Some(t) = ctx.types.iter().find(|t| t.name == kind.machine_type) else { return 0 };
         // Where ordinary ones may serve they do: a spot machine taken back takes a replica.
         if kind.spot {
@@ -229,7 +234,7 @@
     /// Machines with replicas that have missed some reports, by zone only where nearly all
     /// others are heard: more is a cut, of theirs or of ours. The answer to their release
     /// proves that they are gone, long before their lease would.
-    pub(super) fn silent_with_replicas(&self, ctx: &Ctx) -> BTreeSet<MachineId> {
+    pub(super) fn silent_with_replicas(&self, ctx: &Context) -> BTreeSet<MachineId> {
         if !self.any_service() {
             return BTreeSet::new();
         }
--- a/crates/basaltrail-core/src/reign/standing_tests.rs
+++ b/crates/basaltrail-core/src/leadership/standing_tests.rs
@@ -30,43 +30,43 @@
         Bench { cfg, types: vec![a_type()], table }
     }
 
-    fn ctx(&self, now: Ms) -> Ctx<'_> {
+    fn ctx(&self, now: Ms) -> Context<'_> {
         let (cfg, types, table) = (&self.cfg, &self.types[..], &self.table);
-        Ctx { cfg, types, table, now, wall: 0, entitled: true, informed: true }
+        Context { cfg, types, table, now, wall: 0, entitled: true, view_is_fresh: true }
     }
 
     /// A leader with so many machines in each zone, all of them heard just now.
-    fn leads(&self, per_zone: usize, spot: bool) -> Reign {
-        let mut reign = Reign::new(&self.ctx(0), Token(2), 1);
-        reign.loading = Loading::Complete;
+    fn leads(&self, per_zone: usize, spot: bool) -> Leadership {
+        let mut leadership = Leadership::new(&self.ctx(0), Token(2), 1);
+        leadership.loading = Loading::Complete;
         for i in 0..2 * per_zone {
             let id = MachineId(format!("m-{i:02}").into());
             let mut m = Machine::new(id.clone(), "x", ["a", "b"][i % 2], spot, 0);
             (m.hears, m.durable, m.last_checkin, m.session) = (true, true, Some(0), 1);
-            reign.machines.insert(id, m);
+            leadership.machines.insert(id, m);
         }
-        reign
+        leadership
     }
 }
 
-fn place(bench: &Bench, reign: &mut Reign, now: Ms) {
+fn place(bench: &Bench, leadership: &mut Leadership, now: Ms) {
     use rand::SeedableRng;
-    reign.next_place = 0;
-    reign.place(&bench.ctx(now), &mut Calls::default(), &mut SmallRng::seed_from_u64(1));
+    leadership.next_place = 0;
+    leadership.place(&bench.ctx(now), &mut Calls::default(), &mut SmallRng::seed_from_u64(1));
 }
 
-fn where_is(reign: &Reign, job: u64) -> Vec<String> {
+fn where_is(leadership: &Leadership, job: u64) -> Vec<String> {
     let on = |m: &&Machine| m.entries.keys().any(|(t, _)| t.job == JobId(job));
-    reign.machines.values().filter(on).map(|m| m.id.to_string()).collect()
+    leadership.machines.values().filter(on).map(|m| m.id.to_string()).collect()
 }
 
 /// Packed on as few machines as possible, all replicas would go with one of them.
 #[test]
 fn replicas_stand_on_different_machines_while_there_are_any() {
     let bench = Bench::new(&[service(4, 2.0)], 100.0);
-    let mut reign = bench.leads(3, false);
-    place(&bench, &mut reign, 100);
-    assert_eq!(where_is(&reign, 1).len(), 4);
+    let mut leadership = bench.leads(3, false);
+    place(&bench, &mut leadership, 100);
+    assert_eq!(where_is(&leadership, 1).len(), 4);
     let mut few = bench.leads(1, false);
     place(&bench, &mut few, 100);
     assert_eq!(where_is(&few, 1).len(), 2);
@@ -80,11 +80,11 @@
     let array = a_job(99, true);
     for (guarantee, held) in [(100.0, 16.0), (20.0, 12.0), (8.0, 0.0)] {
         let bench = Bench::new(&[service(4, 2.0), array.clone()], guarantee);
-        let mut reign = bench.leads(4, false);
-        place(&bench, &mut reign, 100);
-        let free: f64 = reign.machines.values().map(|m| 8.0 - m.used().0).sum();
+        let mut leadership = bench.leads(4, false);
+        place(&bench, &mut leadership, 100);
+        let free: f64 = leadership.machines.values().map(|m| 8.0 - m.used().0).sum();
         assert!(free >= held && free <= held + 8.0, "guarantee {guarantee}: {free} held");
-        assert_eq!(reign.jobs[&JobId(1)].pending(), 0);
+        assert_eq!(leadership.jobs[&JobId(1)].pending(), 0);
     }
 }
 
@@ -92,14 +92,14 @@
 #[test]
 fn what_is_held_is_given_to_a_job_that_waits_for_long() {
     let bench = Bench::new(&[service(4, 2.0), a_job(2, false)], 100.0);
-    let mut reign = bench.leads(1, false);
-    place(&bench, &mut reign, 100);
-    assert!(where_is(&reign, 2).is_empty(), "all is held");
-    for m in reign.machines.values_mut() {
+    let mut leadership = bench.leads(1, false);
+    place(&bench, &mut leadership, 100);
+    assert!(where_is(&leadership, 2).is_empty(), "all is held");
+    for m in leadership.machines.values_mut() {
         m.last_checkin = Some(50_000);
     }
-    place(&bench, &mut reign, 50_000);
-    assert_eq!(where_is(&reign, 2).len(), 1);
+    place(&bench, &mut leadership, 50_000);
+    assert_eq!(where_is(&leadership, 2).len(), 1);
 }
 
 /// A machine that goes with a replica on it is missed for a lease, unless it is given up
@@ -107,43 +107,51 @@
 #[test]
 fn few_silent_machines_with_replicas_are_given_up_and_many_are_not() {
     let bench = Bench::new(&[service(4, 2.0)], 100.0);
-    let mut reign = bench.leads(8, false);
-    place(&bench, &mut reign, 100);
+    let mut leadership = bench.leads(8, false);
+    place(&bench, &mut leadership, 100);
     let with: Vec<MachineId> =
-        where_is(&reign, 1).iter().map(|m| MachineId(m.as_str().into())).collect();
+        where_is(&leadership, 1).iter().map(|m| MachineId(m.as_str().into())).collect();
     let now = 10_000;
-    let hear = |reign: &mut Reign, silent: &[MachineId], at: Ms| {
-        for m in reign.machines.values_mut() {
+    let hear = |leadership: &mut Leadership, silent: &[MachineId], at: Ms| {
+        for m in leadership.machines.values_mut() {
             m.last_checkin = Some(if silent.contains(&m.id) { at } else { now });
         }
     };
-    hear(&mut reign, &with[..1], now - 3_400);
-    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty(), "too soon");
-    hear(&mut reign, &with[..1], now - 3_600);
-    assert_eq!(reign.silent_with_replicas(&bench.ctx(now)).len(), 1);
-    reign.woke = now - 2_000;
-    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty(), "we stood still ourselves");
-    reign.woke = 0;
+    hear(&mut leadership, &with[..1], now - 3_400);
+    assert!(leadership.silent_with_replicas(&bench.ctx(now)).is_empty(), "too soon");
+    hear(&mut leadership, &with[..1], now - 3_600);
+    assert_eq!(leadership.silent_with_replicas(&bench.ctx(now)).len(), 1);
+    leadership.woke = now - 2_000;
+    assert!(
+        leadership.silent_with_replicas(&bench.ctx(now)).is_empty(),
+        "we stood still ourselves"
+    );
+    leadership.woke = 0;
     // Half of a zone.
-    let zone: Vec<MachineId> =
-        reign.machines.values().filter(|m| m.zone == "a").map(|m| m.id.clone()).take(4).collect();
-    hear(&mut reign, &zone, now - 3_600);
-    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty(), "a cut");
+    let zone: Vec<MachineId> = leadership
+        .machines
+        .values()
+        .filter(|m| m.zone == "a")
+        .map(|m| m.id.clone())
+        .take(4)
+        .collect();
+    hear(&mut leadership, &zone, now - 3_600);
+    assert!(leadership.silent_with_replicas(&bench.ctx(now)).is_empty(), "a cut");
     // One without a replica may wait for its lease.
-    let bare = reign.machines.keys().find(|m| !with.contains(m)).unwrap().clone();
-    hear(&mut reign, &[bare], now - 3_600);
-    assert!(reign.silent_with_replicas(&bench.ctx(now)).is_empty());
+    let bare = leadership.machines.keys().find(|m| !with.contains(m)).unwrap().clone();
+    hear(&mut leadership, &[bare], now - 3_600);
+    assert!(leadership.silent_with_replicas(&bench.ctx(now)).is_empty());
 }
 
 /// Machines for services do not go back as idle, and are asked for while there are too few.
 #[test]
 fn services_keep_ordinary_machines() {
     let bench = Bench::new(&[service(6, 2.0)], 100.0);
-    let reign = bench.leads(1, false);
+    let leadership = bench.leads(1, false);
     let kind = |zone: &str, spot| Kind { machine_type: "x".into(), zone: zone.into(), spot };
     // Three replicas of its own in each zone, and room for two times three: 18 CPUs.
-    assert_eq!(reign.standing(&bench.ctx(0), &kind("a", false)), 3);
-    assert_eq!(reign.standing(&bench.ctx(0), &kind("b", true)), 0);
+    assert_eq!(leadership.standing(&bench.ctx(0), &kind("a", false)), 3);
+    assert_eq!(leadership.standing(&bench.ctx(0), &kind("b", true)), 0);
     let none = Bench::new(&[a_job(6, false)], 100.0);
     assert_eq!(none.leads(1, false).standing(&none.ctx(0), &kind("a", false)), 0);
 }
@@ -157,9 +165,9 @@
     };
     let mut bench = Bench::new(&[service(40, 1.0), a_job(10, true)], 100.0);
     cfg(&mut bench);
-    let mut reign = bench.leads(8, false);
-    reign.fleet_cpus = 128.0;
-    let reach = reign.find_reach(&bench.ctx(0), &[(0.0, 0.0)]);
+    let mut leadership = bench.leads(8, false);
+    leadership.fleet_cpus = 128.0;
+    let reach = leadership.find_reach(&bench.ctx(0), &[(0.0, 0.0)]);
     assert_eq!(reach.get(&JobId(1)), Some(&0.0), "its replicas are missed");
     assert!(reach.contains_key(&JobId(2)), "the array can be in time");
 }
@@ -169,9 +177,9 @@
 #[test]
 fn replicas_leave_a_machine_that_is_about_to_go() {
     let bench = Bench::new(&[service(2, 2.0), a_job(1, true)], 100.0);
-    let mut reign = bench.leads(2, false);
-    place(&bench, &mut reign, 100);
-    let id = MachineId(where_is(&reign, 1)[0].as_str().into());
+    let mut leadership = bench.leads(2, false);
+    place(&bench, &mut leadership, 100);
+    let id = MachineId(where_is(&leadership, 1)[0].as_str().into());
     let report = Report {
         machine: id.clone(),
         endpoint: "e".into(),
@@ -185,7 +193,7 @@
         tasks: Vec::new(),
     };
     let mut report = report;
-    let entries = &mut reign.machines.get_mut(&id).unwrap().entries;
+    let entries = &mut leadership.machines.get_mut(&id).unwrap().entries;
     for ((task, attempt), e) in entries.iter_mut() {
         e.place = Place::Told(TaskState::Running);
         let (task, attempt) = (*task, *attempt);
@@ -193,7 +201,7 @@
     }
     use rand::SeedableRng;
     let mut rng = SmallRng::seed_from_u64(1);
-    let answer = reign.checkin(&bench.ctx(200), &mut Calls::default(), &report, &mut rng);
+    let answer = leadership.checkin(&bench.ctx(200), &mut Calls::default(), &report, &mut rng);
     let Answer::Orders { orders, .. } = answer else { panic!("{answer:?}") };
     let stops = |o: &Order| matches!(o, Order::Stop { task, .. } if task.job == JobId(1));
     assert!(orders.iter().any(stops), "{orders:?}");
--- a/crates/basaltrail-core/src/reign/takeover.rs
+++ b/crates/basaltrail-core/src/leadership/takeover.rs
@@ -11,12 +11,12 @@
     without_token: u32,
 }
 
-impl Reign {
+impl Leadership {
     /// Answers a report while the state that earlier leaders left is still being read. The
     /// answer renews the worker's lease: were it refused, all leases would run out where the
     /// state service is slow, or fails, just after the election. Nothing is started, and what
     /// the answer may have renewed is counted once the roster is read.
-    pub(super) fn checkin_while_loading(&mut self, ctx: &Ctx, report: &Report) -> Answer {
+    pub(super) fn checkin_while_loading(&mut self, ctx: &Context, report: &Report) -> Answer {
         let busy = |why| Answer::Busy { retry_s: 1, why };
         if report.token > self.token {
             // It would drop the answer.
@@ -30,7 +30,7 @@
         let mut orders = Vec::new();
         if report.token == self.token {
             orders = stops_of_ended_jobs(ctx.table, report);
-        } else if answers.without_token >= GREETINGS {
+        } else if answers.without_token >= ANSWERS_WITHOUT_TOKEN {
             return busy("no word with this token");
         } else {
             answers.without_token += 1;
@@ -43,11 +43,11 @@
     fn count_early_answers(&self, machine: &mut Machine) {
         if let Some(answers) = self.early_answers.get(&machine.id) {
             machine.renewed = machine.renewed.max(answers.renewed);
-            machine.greeted = answers.without_token;
+            machine.answers_without_token = answers.without_token;
         }
     }
 
-    pub fn load(&mut self, ctx: &Ctx, calls: &mut Calls) {
+    pub fn load(&mut self, ctx: &Context, calls: &mut Calls) {
         if self.load_in_flight || self.loaded() || ctx.now < self.load_not_before {
             return;
         }
@@ -64,7 +64,7 @@
         calls.state(Purpose::Load { token: self.token }, call, ctx.cfg.leader_lease_ms() / 4);
     }
 
-    pub fn load_answer(&mut self, ctx: &Ctx, calls: &mut Calls, reply: StateReply) {
+    pub fn load_answer(&mut self, ctx: &Context, calls: &mut Calls, reply: StateReply) {
         self.load_in_flight = false;
         match (self.loading, reply) {
             (Loading::Roster, StateReply::Rows { items, more, .. }) => {
@@ -86,7 +86,7 @@
                             Machine::new(e.id.clone(), &e.machine_type, &e.zone, e.spot, ctx.now);
                         // Until it reports with our token, an earlier leader's tasks may
                         // be on it, unless the roster says that nothing is.
-                        m.accounted = e.free;
+                        m.reconciled = e.free;
                         m.durable = !e.free;
                         m.expected = !e.free;
                         m.part = Some(part);
@@ -167,7 +167,7 @@
     }
 
     /// Takes over what the table now says of a job.
-    pub fn sync_job(&mut self, ctx: &Ctx, job: JobId) {
+    pub fn sync_job(&mut self, ctx: &Context, job: JobId) {
         self.unknown.remove(&job);
         if let Some(a) = ctx.table.active.get(&job) {
             let Some(team) = ctx.cfg.team(&a.spec.team) else { return };
@@ -197,7 +197,7 @@
     }
 
     /// Tasks that machines told of before the job was known.
-    fn adopt(&mut self, ctx: &Ctx, job: JobId) {
+    fn adopt(&mut self, ctx: &Context, job: JobId) {
         let mut found = Vec::new();
         for m in self.machines.values() {
             for ((task, attempt), e) in &m.entries {
--- a/crates/basaltrail-core/src/reign/takeover_tests.rs
+++ b/crates/basaltrail-core/src/leadership/takeover_tests.rs
@@ -13,22 +13,22 @@
     table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
     let gone = JobSpec { team: "gone".into(), ..a_job(9, true) };
     table.put_active(JobId(2), 2, JobRecord { at: 0, spec: gone });
-    let ctx = Ctx {
+    let ctx = Context {
         cfg: &cfg,
         types: &[],
         table: &table,
         now: 500,
         wall: 0,
         entitled: true,
-        informed: true,
+        view_is_fresh: true,
     };
     let led = |value: &str| {
-        let mut reign = Reign::new(&ctx, Token(2), 1);
-        reign.loading = Loading::Ledger;
+        let mut leadership = Leadership::new(&ctx, Token(2), 1);
+        leadership.loading = Loading::Ledger;
         let item = Item { key: LEDGER.into(), value: value.into(), stamp: 3, loan: None };
-        reign.load_answer(&ctx, &mut Calls::default(), StateReply::Found(item));
-        assert!(reign.loaded() && !reign.jobs.contains_key(&JobId(2)));
-        reign.jobs[&JobId(1)].health.room(0)
+        leadership.load_answer(&ctx, &mut Calls::default(), StateReply::Found(item));
+        assert!(leadership.loaded() && !leadership.jobs.contains_key(&JobId(2)));
+        leadership.jobs[&JobId(1)].health.room(0)
     };
     let record = LedgerRecord {
         teams: vec![("gone".into(), 5.0, 7.0)],
--- a/crates/basaltrail-core/src/reign/writing.rs
+++ b/crates/basaltrail-core/src/leadership/writing.rs
@@ -54,8 +54,8 @@
     }
 }
 
-impl Reign {
-    pub fn flush(&mut self, ctx: &Ctx, calls: &mut Calls) {
+impl Leadership {
+    pub fn flush(&mut self, ctx: &Context, calls: &mut Calls) {
         if self.flush_in_flight
             || !self.loaded()
             || !ctx.entitled
@@ -71,7 +71,7 @@
             }
         }
         let now = ctx.now;
-        let mut f = Flush::default();
+        let mut f = PendingWrite::default();
         self.parked.retain(|_, until| *until > now);
         let most = ctx.cfg.txn_ops.max(2).min(self.changes_most);
         let mut t = Txn::new((LEADER.to_string(), self.stamp), most);
@@ -103,7 +103,7 @@
             if shut(&key)
                 || self.roster_waits.get(&part).is_some_and(|w| !w.is_empty())
                 || !t.room(1, self.roster_bytes[part])
-                || !paid(1.0, Class::Door)
+                || !paid(1.0, Class::Request)
             {
                 continue;
             }
@@ -124,8 +124,8 @@
             let record = self.ledger.record(ctx.cfg, leases_end, suspects);
             t.put(stamp(LEDGER), LEDGER.into(), encode(&record));
         }
-        if self.home_due && !shut(HOME) && t.room(1, 256) && paid(1.0, Class::Rest) {
-            self.home_due = false;
+        if self.preferred_zone_due && !shut(HOME) && t.room(1, 256) && paid(1.0, Class::Rest) {
+            self.preferred_zone_due = false;
             f.home = true;
             f.keys.push(HOME.into());
             t.put(stamp(HOME), HOME.into(), encode(&self.home));
@@ -190,12 +190,12 @@
             return;
         }
         self.flush_in_flight = true;
-        let purpose = Purpose::Flush { token: self.token, flush: Box::new(f) };
+        let purpose = Purpose::PendingWrite { token: self.token, flush: Box::new(f) };
         let op = StateOp::Txn { conds, puts, removes };
         calls.state(purpose, op, ctx.cfg.leader_lease_ms() / 4);
     }
 
-    fn undo(&mut self, ctx: &Ctx, f: Flush) {
+    fn undo(&mut self, ctx: &Context, f: PendingWrite) {
         for (job, part, _) in f.parts {
             if let Some(j) = self.jobs.get_mut(&job) {
                 j.dirty.insert(part);
@@ -205,13 +205,18 @@
         self.roster_dirty.extend(f.roster.into_iter().map(|(p, _)| p));
         self.cleanup.extend(f.cleaned);
         self.ledger_due |= f.ledger;
-        self.home_due |= f.home;
+        self.preferred_zone_due |= f.home;
         self.next_parts = self.next_parts.min(ctx.now + ctx.cfg.report_ms / 4);
     }
 
-    pub fn flush_answer(&mut self, ctx: &Ctx, mut f: Flush, reply: StateReply) -> Flushed {
+    pub fn flush_answer(
+        &mut self,
+        ctx: &Context,
+        mut f: PendingWrite,
+        reply: StateReply,
+    ) -> WriteOutcome {
         self.flush_in_flight = false;
-        let mut out = Flushed::default();
+        let mut out = WriteOutcome::default();
         match reply {
             StateReply::Committed { revision } => {
                 self.changes_most = self.changes_most.saturating_mul(2);
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -3,12 +3,12 @@
 use crate::budget::Class;
 use crate::calls::{Calls, Purpose};
 use crate::election::Election;
-use crate::frontdoor::{impossible, Ask, FrontDoor, Kind, NewJob};
 use crate::io::*;
 use crate::jobs::Table;
+use crate::leadership::{Context, Leadership};
 use crate::model::*;
 use crate::records::*;
-use crate::reign::{Ctx, Reign};
+use crate::requests::{impossible, Ask, Kind, NewJob, RequestQueue};
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -35,7 +35,7 @@
     calls: Calls,
     election: Election,
     table: Table,
-    door: FrontDoor,
+    requests: RequestQueue,
     types: Vec<MachineType>,
     types_kept: bool,
     types_in_flight: bool,
@@ -53,7 +53,7 @@
     catch_up_not_before: Ms,
     /// Since when this node has had its right without a break.
     entitled_since: Option<Ms>,
-    reign: Option<Reign>,
+    leadership: Option<Leadership>,
     state_ok: Ms,
     /// When a peer last told of progress, as only a leader does.
     leader_heard: Ms,
@@ -70,7 +70,7 @@
             calls: Calls::default(),
             election: Election::new(&cfg.node, cfg.incarnation, ttl, cfg.at_most(ttl)),
             table: Table::new((cfg.memory_mb * ENDS_PER_MB).max(1000.0) as usize),
-            door: FrontDoor::default(),
+            requests: RequestQueue::default(),
             types: Vec::new(),
             types_kept: false,
             types_in_flight: false,
@@ -86,7 +86,7 @@
             catching_up: false,
             catch_up_not_before: 0,
             entitled_since: None,
-            reign: None,
+            leadership: None,
             state_ok: 0,
             leader_heard: 0,
             leads: None,
@@ -108,12 +108,12 @@
     }
 
     pub fn leading(&self) -> bool {
-        self.reign.as_ref().is_some_and(Reign::loaded) && self.election.entitled(self.now)
+        self.leadership.as_ref().is_some_and(Leadership::loaded) && self.election.entitled(self.now)
     }
 
-    /// Machines and tasks that the present reign has looked at in its passes.
+    /// Machines and tasks that the present leadership has looked at in its passes.
     pub fn visited(&self) -> u64 {
-        self.reign.as_ref().map_or(0, |r| r.visited)
+        self.leadership.as_ref().map_or(0, |r| r.visited)
     }
 
     pub fn step(&mut self, now: Ms, wall: WallMs, input: Input) -> Vec<Effect> {
@@ -129,9 +129,9 @@
             Input::Cloud { op, reply } => self.cloud_reply(op, reply),
             Input::Peer { progress } => {
                 self.leader_heard = self.now;
-                if self.reign.is_none() {
+                if self.leadership.is_none() {
                     let known = |p: &&Progress| self.table.active.contains_key(&p.job);
-                    self.door.display = progress
+                    self.requests.display = progress
                         .iter()
                         .filter(known)
                         .map(|p| (p.job, (p.done, p.running)))
@@ -143,22 +143,22 @@
         std::mem::take(&mut self.calls.out)
     }
 
-    fn with_reign<T>(
+    fn with_leadership<T>(
         &mut self,
-        f: impl FnOnce(&mut Reign, &Ctx, &mut Calls, &mut SmallRng) -> T,
+        f: impl FnOnce(&mut Leadership, &Context, &mut Calls, &mut SmallRng) -> T,
     ) -> Option<T> {
-        let informed = self.informed();
-        let reign = self.reign.as_mut()?;
-        let ctx = Ctx {
+        let view_is_fresh = self.view_is_fresh();
+        let leadership = self.leadership.as_mut()?;
+        let ctx = Context {
             cfg: &self.cfg,
             types: &self.types,
             table: &self.table,
             now: self.now,
             wall: self.wall,
             entitled: self.election.entitled(self.now),
-            informed,
+            view_is_fresh,
         };
-        Some(f(reign, &ctx, &mut self.calls, &mut self.rng))
+        Some(f(leadership, &ctx, &mut self.calls, &mut self.rng))
     }
 
     // ---- what is due ----
@@ -183,17 +183,19 @@
         self.jobs_view();
         self.catch_up();
         self.types_view();
-        self.flush_door();
+        self.flush_requests();
         let changed = std::mem::take(&mut self.table.changed);
         if !changed.is_empty() {
-            self.with_reign(|reign, ctx, _, _| {
+            self.with_leadership(|leadership, ctx, _, _| {
                 for job in &changed {
-                    reign.sync_job(ctx, *job);
+                    leadership.sync_job(ctx, *job);
                 }
             });
         }
-        self.with_reign(|reign, ctx, calls, rng| reign.tick(ctx, calls, rng));
-        if self.with_reign(|reign, ctx, _, _| ctx.entitled && reign.lost_workers) == Some(true) {
+        self.with_leadership(|leadership, ctx, calls, rng| leadership.tick(ctx, calls, rng));
+        if self.with_leadership(|leadership, ctx, _, _| ctx.entitled && leadership.lost_workers)
+            == Some(true)
+        {
             // Another node may still reach them, and their leases run. One that is able takes
             // over within a leader's lease; where none is, nobody leads for no longer.
             self.calls.log(Level::Info, "resigned", "why=\"workers silent\"".into());
@@ -204,7 +206,7 @@
     }
 
     fn shares(&mut self) {
-        let leads = self.reign.is_some();
+        let leads = self.leadership.is_some();
         if self.leads == Some(leads) {
             return;
         }
@@ -222,7 +224,7 @@
 
     fn follow_role(&mut self) {
         let lead = self.election.lead();
-        let same = match (&self.reign, lead) {
+        let same = match (&self.leadership, lead) {
             (Some(r), Some(l)) => r.token == l.token,
             (None, None) => true,
             _ => false,
@@ -230,21 +232,21 @@
         if same {
             return;
         }
-        if let Some(r) = self.reign.take() {
+        if let Some(r) = self.leadership.take() {
             self.calls.log(Level::Info, "deposed", format!("token={}", r.token.0));
         }
         if let Some(l) = lead {
             self.calls.log(Level::Info, "elected", format!("token={}", l.token.0));
-            let ctx = Ctx {
+            let ctx = Context {
                 cfg: &self.cfg,
                 types: &self.types,
                 table: &self.table,
                 now: self.now,
                 wall: self.wall,
                 entitled: true,
-                informed: false,
+                view_is_fresh: false,
             };
-            self.reign = Some(Reign::new(&ctx, l.token, l.stamp));
+            self.leadership = Some(Leadership::new(&ctx, l.token, l.stamp));
         }
     }
 
@@ -252,7 +254,7 @@
         if self.jobs_in_flight || self.now < self.jobs_not_before {
             return;
         }
-        if !self.calls.pay(self.now, Class::Door) {
+        if !self.calls.pay(self.now, Class::Request) {
             return;
         }
         self.jobs_in_flight = true;
@@ -273,7 +275,7 @@
     /// a watch that is answered leaves it. Users may have been told elsewhere that a job is
     /// cancelled while we stood still, were cut off or had no right: until we have read that,
     /// nothing is started.
-    fn informed(&self) -> bool {
+    fn view_is_fresh(&self) -> bool {
         let (Some(as_of), Some(since)) = (self.jobs_as_of, self.entitled_since) else {
             return false;
         };
@@ -309,7 +311,7 @@
         }
         let timeout = self.cfg.lease_ms / 3;
         if !self.types_kept {
-            if self.calls.pay(self.now, Class::Door) {
+            if self.calls.pay(self.now, Class::Request) {
                 self.types_in_flight = true;
                 let op = StateOp::Get(TYPES.into());
                 self.calls.state(Purpose::TypesKept, op, timeout);
@@ -318,8 +320,8 @@
             // Too many to keep: every node asks the cloud.
             self.types_dirty = false;
         } else if self.types_dirty {
-            if self.calls.pay(self.now, Class::Door)
-                && self.calls.writes.take(self.now, 1.0, Class::Door)
+            if self.calls.pay(self.now, Class::Request)
+                && self.calls.writes.take(self.now, 1.0, Class::Request)
             {
                 self.types_in_flight = true;
                 let op = StateOp::Txn {
@@ -329,7 +331,7 @@
                 };
                 self.calls.state(Purpose::TypesPut, op, timeout);
             }
-        } else if (self.types.is_empty() || self.reign.is_some())
+        } else if (self.types.is_empty() || self.leadership.is_some())
             && self.calls.cloud.take(self.now, 1.0, Class::Lease)
         {
             self.types_in_flight = true;
@@ -338,15 +340,15 @@
     }
 
     fn read_unknown(&mut self) {
-        let Some(r) = self.reign.as_mut() else { return };
-        if r.unknown.is_empty() || self.door.reads.len() > 16 {
+        let Some(r) = self.leadership.as_mut() else { return };
+        if r.unknown.is_empty() || self.requests.reads.len() > 16 {
             return;
         }
         // Each is asked for once a second at the most, by taking it off the list here;
         // workers' next reports put it back while it stays unknown.
         while let Some(job) = r.unknown.pop_first() {
-            self.door.reads.push((job, Vec::new()));
-            if self.door.reads.len() > 16 {
+            self.requests.reads.push((job, Vec::new()));
+            if self.requests.reads.len() > 16 {
                 break;
             }
         }
@@ -357,10 +359,10 @@
         if !self.election.entitled(now) {
             return;
         }
-        if let Some(r) = self.reign.as_mut().filter(|r| r.loaded() && now >= r.next_progress) {
+        if let Some(r) = self.leadership.as_mut().filter(|r| r.loaded() && now >= r.next_progress) {
             r.next_progress = now + every;
             let progress = r.progress();
-            self.door.display = progress.iter().map(|p| (p.job, (p.done, p.running))).collect();
+            self.requests.display = progress.iter().map(|p| (p.job, (p.done, p.running))).collect();
             self.calls.out.push(Effect::Peers { progress });
         }
     }
@@ -370,13 +372,15 @@
     fn checkin(&mut self, req: ReqId, report: &Report) {
         // What we answer keeps a task for a lease more, and it may be of a job whose user was
         // told long ago that it is cancelled.
-        let recent = self.jobs_as_of.is_some_and(|t| self.now <= t + self.cfg.word_ms());
+        let recent = self.jobs_as_of.is_some_and(|t| self.now <= t + self.cfg.view_age_most_ms());
         let answer = if !self.election.entitled(self.now) {
             None
         } else if !recent {
             Some(Answer::Busy { retry_s: 1, why: "jobs not read" })
         } else {
-            self.with_reign(|reign, ctx, calls, rng| reign.checkin(ctx, calls, report, rng))
+            self.with_leadership(|leadership, ctx, calls, rng| {
+                leadership.checkin(ctx, calls, report, rng)
+            })
         };
         let answer = answer.unwrap_or_else(|| {
             let leader = self.election.leader_hint().filter(|l| *l != self.cfg.node);
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -1,7 +1,7 @@
 //! Answers of the state service and the cloud.
 
 use super::*;
-use crate::frontdoor::Confirming;
+use crate::requests::Confirming;
 
 impl Node {
     pub(super) fn apply(&mut self, item: &Item) {
@@ -69,13 +69,13 @@
             }
             Purpose::Submit(batch) => self.submitted(batch, reply),
             Purpose::Check(jobs) => {
-                self.door.checks_in_flight -= 1;
+                self.requests.checks_in_flight -= 1;
                 match reply {
                     StateReply::Committed { .. } => {
                         for c in jobs {
                             // What was confirmed is an entry that went since: it has an end.
-                            if c.known && self.door.view(&self.table, c.job).is_none() {
-                                self.door.reads.push((c.job, c.asks));
+                            if c.known && self.requests.view(&self.table, c.job).is_none() {
+                                self.requests.reads.push((c.job, c.asks));
                             } else {
                                 self.confirmed(c.job, c.asks);
                             }
@@ -85,12 +85,12 @@
                         for Confirming { job, asks, .. } in jobs {
                             if failed.contains(&active_key(job)) || failed.contains(&final_key(job))
                             {
-                                self.door.reads.push((job, asks));
+                                self.requests.reads.push((job, asks));
                             } else {
-                                self.door.check_again(job, asks);
+                                self.requests.check_again(job, asks);
                             }
                         }
-                        self.door.checks_since = self.now;
+                        self.requests.checks_since = self.now;
                     }
                     _ => {
                         for c in jobs {
@@ -103,7 +103,7 @@
                 StateReply::Found(item) => {
                     self.apply(&item);
                     // A record that cannot be read is not none.
-                    match self.door.view(&self.table, job) {
+                    match self.requests.view(&self.table, job) {
                         Some(_) => self.confirmed(job, asks),
                         None => self.busy(asks, 1, "record unreadable"),
                     }
@@ -122,7 +122,7 @@
                 StateReply::Found(item) => {
                     self.apply(&item);
                     // A record that cannot be read is not none.
-                    match self.door.view(&self.table, job) {
+                    match self.requests.view(&self.table, job) {
                         Some(_) => self.confirmed(job, asks),
                         None => self.busy(asks, 1, "record unreadable"),
                     }
@@ -136,7 +136,7 @@
                     self.calls.log(Level::Info, "job_cancelled", format!("job={job}"));
                     self.confirmed(job, asks);
                 }
-                StateReply::Conflict { .. } => self.door.reads.push((job, asks)),
+                StateReply::Conflict { .. } => self.requests.reads.push((job, asks)),
                 _ => self.busy(asks, 1, "not decided"),
             },
             Purpose::TypesKept => {
@@ -164,15 +164,15 @@
                 }
             }
             Purpose::Load { token } => {
-                self.with_reign(|reign, ctx, calls, _| {
-                    if reign.token == token {
-                        reign.load_answer(ctx, calls, reply);
+                self.with_leadership(|leadership, ctx, calls, _| {
+                    if leadership.token == token {
+                        leadership.load_answer(ctx, calls, reply);
                     }
                 });
             }
-            Purpose::Flush { token, flush } => {
-                let out = self.with_reign(|reign, ctx, _, _| {
-                    (reign.token == token).then(|| reign.flush_answer(ctx, *flush, reply))
+            Purpose::PendingWrite { token, flush } => {
+                let out = self.with_leadership(|leadership, ctx, _, _| {
+                    (leadership.token == token).then(|| leadership.flush_answer(ctx, *flush, reply))
                 });
                 if let Some(Some(out)) = out {
                     for job in out.ends {
@@ -182,16 +182,16 @@
                     if let Some(keys) = out.rejected {
                         self.calls.log(Level::Error, "write_rejected", format!("key={keys}"));
                     }
-                    self.door.reads.extend(out.read.into_iter().map(|j| (j, Vec::new())));
+                    self.requests.reads.extend(out.read.into_iter().map(|j| (j, Vec::new())));
                     if out.deposed {
                         self.election.step_down(self.now);
                     }
                 }
             }
             Purpose::Refresh { token, key } => {
-                self.with_reign(|reign, _, _, _| {
-                    if reign.token == token {
-                        reign.refresh_answer(key, reply);
+                self.with_leadership(|leadership, _, _, _| {
+                    if leadership.token == token {
+                        leadership.refresh_answer(key, reply);
                     }
                 });
             }
@@ -201,7 +201,7 @@
 
     pub(super) fn unread(&mut self, job: JobId, asks: Vec<Ask>) {
         if asks.is_empty() {
-            if let Some(r) = self.reign.as_mut() {
+            if let Some(r) = self.leadership.as_mut() {
                 r.unknown.insert(job);
             }
         }
@@ -252,14 +252,14 @@
     }
 
     pub(super) fn submitted(&mut self, batch: Vec<NewJob>, reply: StateReply) {
-        self.door.submits_in_flight -= 1;
+        self.requests.submits_in_flight -= 1;
         match reply {
             StateReply::Committed { revision } => {
                 for new in batch {
                     let record = JobRecord { at: self.wall, spec: *new.spec };
                     self.table.put_active(new.job, revision, record);
                     for ask in new.asks {
-                        self.door.waiting = self.door.waiting.saturating_sub(1);
+                        self.requests.waiting = self.requests.waiting.saturating_sub(1);
                         self.calls.answer(ask.req, Answer::Created { job: new.job });
                     }
                 }
@@ -269,21 +269,21 @@
                 for new in batch {
                     let keys = [active_key(new.job), final_key(new.job)];
                     if keys.iter().any(|k| failed.contains(k)) {
-                        self.door.reads.push((new.job, new.asks));
+                        self.requests.reads.push((new.job, new.asks));
                     } else {
                         rest.push(new);
                     }
                 }
                 // One duplicate must not cost the others their place.
-                rest.append(&mut self.door.submits);
-                self.door.submits = rest;
+                rest.append(&mut self.requests.submits);
+                self.requests.submits = rest;
             }
             StateReply::Rejected if batch.len() > 1 => {
                 // One that cannot be kept must not cost the others their place.
                 let mut rest: Vec<NewJob> =
                     batch.into_iter().map(|new| NewJob { alone: true, ..new }).collect();
-                rest.append(&mut self.door.submits);
-                self.door.submits = rest;
+                rest.append(&mut self.requests.submits);
+                self.requests.submits = rest;
             }
             StateReply::Refused | StateReply::Rejected => {
                 for new in batch {
@@ -323,23 +323,23 @@
                 }
             }
             Purpose::Rent { token, requisition } => {
-                self.with_reign(|reign, ctx, calls, _| {
-                    if reign.token == token {
-                        reign.rent_answer(ctx, calls, &requisition, reply);
+                self.with_leadership(|leadership, ctx, calls, _| {
+                    if leadership.token == token {
+                        leadership.rent_answer(ctx, calls, &requisition, reply);
                     }
                 });
             }
             Purpose::Release { token, machines } => {
-                self.with_reign(|reign, ctx, calls, _| {
-                    if reign.token == token {
-                        reign.release_answer(ctx, calls, machines, reply);
+                self.with_leadership(|leadership, ctx, calls, _| {
+                    if leadership.token == token {
+                        leadership.release_answer(ctx, calls, machines, reply);
                     }
                 });
             }
             Purpose::List { token } => {
-                self.with_reign(|reign, ctx, calls, _| {
-                    if reign.token == token {
-                        reign.list_answer(ctx, calls, reply);
+                self.with_leadership(|leadership, ctx, calls, _| {
+                    if leadership.token == token {
+                        leadership.list_answer(ctx, calls, reply);
                     }
                 });
             }
--- a/crates/basaltrail-core/src/node/users.rs
+++ b/crates/basaltrail-core/src/node/users.rs
@@ -3,26 +3,26 @@
 use super::*;
 
 impl Node {
-    pub(super) fn flush_door(&mut self) {
+    pub(super) fn flush_requests(&mut self) {
         let patience = self.cfg.leader_lease_ms() / 5;
         // New jobs go out at once; those that come meanwhile go together next.
-        if !self.door.submits.is_empty() && self.door.submits_in_flight < 2 {
-            let n = self.door.submits.len().min(self.cfg.txn_ops.max(1));
-            if self.calls.writes.take(self.now, n as f64, Class::Door)
-                && self.calls.pay(self.now, Class::Door)
+        if !self.requests.submits.is_empty() && self.requests.submits_in_flight < 2 {
+            let n = self.requests.submits.len().min(self.cfg.txn_ops.max(1));
+            if self.calls.writes.take(self.now, n as f64, Class::Request)
+                && self.calls.pay(self.now, Class::Request)
             {
                 let mut batch: Vec<NewJob> = Vec::new();
                 let mut bytes = 0;
                 let mut puts = Vec::new();
                 let mut conds = Vec::new();
-                while batch.len() < n && !self.door.submits.is_empty() {
-                    let new = self.door.submits.remove(0);
+                while batch.len() < n && !self.requests.submits.is_empty() {
+                    let new = self.requests.submits.remove(0);
                     let record = JobRecord { at: self.wall, spec: (*new.spec).clone() };
                     let value = encode(&record);
                     bytes += value.len();
                     let alone = new.alone || batch.first().is_some_and(|b| b.alone);
                     if (alone || bytes > 48 * 1024) && !batch.is_empty() {
-                        self.door.submits.insert(0, new);
+                        self.requests.submits.insert(0, new);
                         break;
                     }
                     conds.push((active_key(new.job), 0));
@@ -30,12 +30,12 @@
                     puts.push(Put { key: active_key(new.job), value, loan: None });
                     batch.push(new);
                 }
-                self.door.submits_in_flight += 1;
+                self.requests.submits_in_flight += 1;
                 let op = StateOp::Txn { conds, puts, removes: Vec::new() };
                 self.calls.state(Purpose::Submit(batch), op, patience);
-            } else if self.door.submits.len() > self.cfg.txn_ops.max(1) * 2 {
+            } else if self.requests.submits.len() > self.cfg.txn_ops.max(1) * 2 {
                 // More than can be written soon: say so now.
-                for new in std::mem::take(&mut self.door.submits) {
+                for new in std::mem::take(&mut self.requests.submits) {
                     self.busy(new.asks, 2, "too many submissions");
                 }
             }
@@ -43,24 +43,24 @@
         // Polls are gathered for a moment and checked together.
         let gather = (self.cfg.report_ms / 10).min(150);
         let conditions = self.cfg.txn_ops * 4;
-        let full = self.door.jobs_to_check() * 2 >= conditions;
-        if self.door.jobs_to_check() > 0
-            && self.door.checks_in_flight < 4
-            && (full || self.now >= self.door.checks_since + gather)
+        let full = self.requests.jobs_to_check() * 2 >= conditions;
+        if self.requests.jobs_to_check() > 0
+            && self.requests.checks_in_flight < 4
+            && (full || self.now >= self.requests.checks_since + gather)
         {
-            if self.calls.pay(self.now, Class::Door) {
-                let (jobs, conds) = self.door.take_checks(&self.table, conditions.max(2));
-                self.door.checks_in_flight += 1;
-                self.door.checks_since = self.now;
+            if self.calls.pay(self.now, Class::Request) {
+                let (jobs, conds) = self.requests.take_checks(&self.table, conditions.max(2));
+                self.requests.checks_in_flight += 1;
+                self.requests.checks_since = self.now;
                 let op = StateOp::Txn { conds, puts: Vec::new(), removes: Vec::new() };
                 self.calls.state(Purpose::Check(jobs), op, patience);
-            } else if self.now > self.door.checks_since + 1000 {
-                let asks = self.door.give_up_checks();
+            } else if self.now > self.requests.checks_since + 1000 {
+                let asks = self.requests.give_up_checks();
                 self.busy(asks, 1, "no check possible");
             }
         }
-        while !self.door.reads.is_empty() && self.calls.pay(self.now, Class::Door) {
-            let (job, asks) = self.door.reads.remove(0);
+        while !self.requests.reads.is_empty() && self.calls.pay(self.now, Class::Request) {
+            let (job, asks) = self.requests.reads.remove(0);
             self.calls.state(
                 Purpose::ReadActive { job, asks },
                 StateOp::Get(active_key(job)),
@@ -71,14 +71,14 @@
 
     pub(super) fn busy(&mut self, asks: Vec<Ask>, retry_s: u32, why: &'static str) {
         for a in asks {
-            self.door.waiting = self.door.waiting.saturating_sub(1);
+            self.requests.waiting = self.requests.waiting.saturating_sub(1);
             self.calls.answer(a.req, Answer::Busy { retry_s, why });
         }
     }
 
     pub(super) fn too_many(&mut self, req: ReqId) -> bool {
         let most = (self.cfg.memory_mb * WAITING_PER_MB).max(64.0) as usize;
-        if self.door.waiting < most && self.jobs_loaded {
+        if self.requests.waiting < most && self.jobs_loaded {
             return false;
         }
         let why = if self.jobs_loaded { "too many requests" } else { "starting" };
@@ -88,7 +88,7 @@
 
     pub(super) fn submit(&mut self, req: ReqId, job: JobId, spec: Box<JobSpec>) {
         if self.table.ended(job).is_some() {
-            if let Some(answer) = self.door.view(&self.table, job) {
+            if let Some(answer) = self.requests.view(&self.table, job) {
                 return self.calls.answer(req, answer);
             }
         }
@@ -97,7 +97,7 @@
         }
         let ask = Ask { req, kind: Kind::Submit };
         if self.table.active.contains_key(&job) {
-            return self.door.check(self.now, job, ask);
+            return self.requests.check(self.now, job, ask);
         }
         if self.types.is_empty() {
             return self.calls.answer(req, Answer::Busy { retry_s: 1, why: "types unknown" });
@@ -113,16 +113,16 @@
         if self.table.active.len() >= most {
             return self.calls.answer(req, Answer::Busy { retry_s: 10, why: "too many jobs" });
         }
-        self.door.waiting += 1;
-        match self.door.submits.iter_mut().find(|n| n.job == job) {
+        self.requests.waiting += 1;
+        match self.requests.submits.iter_mut().find(|n| n.job == job) {
             Some(n) => n.asks.push(ask),
-            None => self.door.submits.push(NewJob { job, spec, asks: vec![ask], alone: false }),
+            None => self.requests.submits.push(NewJob { job, spec, asks: vec![ask], alone: false }),
         }
     }
 
     pub(super) fn ask(&mut self, req: ReqId, job: JobId, kind: Kind) {
         if self.table.ended(job).is_some() {
-            if let Some(answer) = self.door.view(&self.table, job) {
+            if let Some(answer) = self.requests.view(&self.table, job) {
                 return self.calls.answer(req, answer);
             }
         }
@@ -131,21 +131,21 @@
         }
         let ask = Ask { req, kind };
         if kind == Kind::Cancel {
-            self.door.waiting += 1;
+            self.requests.waiting += 1;
             self.cancel(job, vec![ask]);
         } else {
-            self.door.check(self.now, job, ask);
+            self.requests.check(self.now, job, ask);
         }
     }
 
     pub(super) fn cancel(&mut self, job: JobId, asks: Vec<Ask>) {
         let Some(a) = self.table.active.get(&job) else {
-            self.door.reads.push((job, asks));
+            self.requests.reads.push((job, asks));
             return;
         };
         let stamp = a.stamp;
-        if !self.calls.writes.take(self.now, 2.0, Class::Door)
-            || !self.calls.pay(self.now, Class::Door)
+        if !self.calls.writes.take(self.now, 2.0, Class::Request)
+            || !self.calls.pay(self.now, Class::Request)
         {
             return self.busy(asks, 1, "too many changes");
         }
@@ -161,12 +161,12 @@
     /// Answers those who waited for a job whose entry was confirmed just now.
     pub(super) fn confirmed(&mut self, job: JobId, asks: Vec<Ask>) {
         for ask in asks {
-            let view = self.door.view(&self.table, job);
+            let view = self.requests.view(&self.table, job);
             if ask.kind == Kind::Cancel && self.table.active.contains_key(&job) {
                 self.cancel(job, vec![ask]);
                 continue;
             }
-            self.door.waiting = self.door.waiting.saturating_sub(1);
+            self.requests.waiting = self.requests.waiting.saturating_sub(1);
             let answer = match (view, ask.kind) {
                 (Some(v), _) => v,
                 (None, Kind::Submit) => Answer::Busy { retry_s: 1, why: "not decided" },
--- a/crates/basaltrail-core/src/frontdoor.rs
+++ b/crates/basaltrail-core/src/requests.rs
@@ -42,7 +42,7 @@
 }
 
 #[derive(Default)]
-pub struct FrontDoor {
+pub struct RequestQueue {
     /// Jobs to be checked, with those who wait for them, and since when.
     checks: HashMap<JobId, Vec<Ask>>,
     /// The same jobs as they came: none may starve behind others.
@@ -73,7 +73,7 @@
     None
 }
 
-impl FrontDoor {
+impl RequestQueue {
     pub fn check(&mut self, now: Ms, job: JobId, ask: Ask) {
         if self.checks.is_empty() {
             self.checks_since = now;
@@ -141,5 +141,5 @@
 }
 
 #[cfg(test)]
-#[path = "frontdoor_tests.rs"]
+#[path = "requests_tests.rs"]
 mod tests;
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -15,7 +15,7 @@
 
 impl Team {
     /// Without a guarantee: what it runs is borrowed.
-    pub fn guest(&self) -> bool {
+    pub fn without_guarantee(&self) -> bool {
         self.cpus <= 0.0
     }
 
@@ -127,13 +127,13 @@
     /// How old the leader's knowledge of jobs may be while it still answers workers: what it
     /// answers last keeps a task for a worker's lease, and a task of a cancelled job must be
     /// gone `cancel_s` after its user was told.
-    pub fn word_ms(&self) -> Ms {
+    pub fn view_age_most_ms(&self) -> Ms {
         self.cancel_ms.saturating_sub(self.surely(self.lease_ms)).max(self.cancel_ms / 4)
     }
 
     /// How long one watch of the jobs waits for news.
     pub fn watch_ms(&self) -> Ms {
-        (self.cancel_ms / 6).min(self.word_ms() / 3)
+        (self.cancel_ms / 6).min(self.view_age_most_ms() / 3)
     }
 
     pub fn team(&self, name: &str) -> Option<usize> {
--- a/crates/basaltrail/src/driver.rs
+++ b/crates/basaltrail/src/driver.rs
@@ -1,7 +1,7 @@
 //! The loop round the core: inputs in, effects out. It decides nothing.
 
 use crate::clients::Http;
-use crate::server::{Ask, Door};
+use crate::server::{Ask, Request};
 use crate::settings::Process;
 use crate::{logging, peers, server};
 use basaltrail_core::*;
@@ -43,9 +43,9 @@
     let (hints, mut from_peers) = mpsc::channel(4);
     let (frame, newest) = watch::channel(Vec::new());
     let ready = Arc::new(AtomicBool::new(false));
-    let door = Door { asks, ready: ready.clone(), next: Arc::new(AtomicU64::new(1)) };
+    let requests = Request { asks, ready: ready.clone(), next: Arc::new(AtomicU64::new(1)) };
     // The rest is for our own calls and for connections that are being closed.
-    tokio::spawn(server::serve(listener, settings.max_connections * 3 / 4, door));
+    tokio::spawn(server::serve(listener, settings.max_connections * 3 / 4, requests));
     tokio::spawn(peers::listen(peer_listener, settings.max_connections / 16 + 4, hints));
     for peer in &settings.peers {
         tokio::spawn(peers::send(*peer, newest.clone()));
--- a/crates/basaltrail/src/server.rs
+++ b/crates/basaltrail/src/server.rs
@@ -28,7 +28,7 @@
 }
 
 #[derive(Clone)]
-pub struct Door {
+pub struct Request {
     pub asks: mpsc::Sender<Ask>,
     pub ready: Arc<AtomicBool>,
     pub next: Arc<AtomicU64>,
@@ -36,7 +36,7 @@
 
 type Reply = Response<String>;
 
-impl Door {
+impl Request {
     /// Hands a request to the core; a full queue is an answer of its own, at once.
     async fn ask(&self, input: impl FnOnce(ReqId) -> Input) -> Answer {
         let busy = Answer::Busy { retry_s: 1, why: "too many requests" };
@@ -94,7 +94,7 @@
 
 async fn submit<B: Buf>(
     stream: impl Stream<Item = Result<B, warp::Error>>,
-    door: Door,
+    requests: Request,
 ) -> Result<Reply, Infallible> {
     let body = match body(stream).await {
         Ok(b) => b,
@@ -103,7 +103,7 @@
     Ok(match jobs::submission(&body) {
         Ok((job, spec)) => {
             let spec = Box::new(spec);
-            to_user(&door.ask(|req| Input::Submit { req, job, spec }).await)
+            to_user(&requests.ask(|req| Input::Submit { req, job, spec }).await)
         }
         Err(e) => reply(400, jobs::error(&e.to_string()), None),
     })
@@ -111,7 +111,7 @@
 
 async fn checkin<B: Buf>(
     stream: impl Stream<Item = Result<B, warp::Error>>,
-    door: Door,
+    requests: Request,
 ) -> Result<Reply, Infallible> {
     let report = match body(stream).await {
         Ok(b) => workers::report(&b).map_err(|e| e.to_string()),
@@ -124,27 +124,27 @@
             return Ok(reply(400, jobs::error(&why), None));
         }
     };
-    Ok(match door.ask(|req| Input::Checkin { req, report }).await {
+    Ok(match requests.ask(|req| Input::Checkin { req, report }).await {
         Answer::Orders { token, orders } => reply(200, workers::orders(token, &orders), None),
         Answer::Elsewhere { leader } => reply(421, workers::elsewhere(leader.as_deref()), None),
         other => to_user(&other),
     })
 }
 
-async fn about(id: String, door: Door, cancel: bool) -> Result<Reply, Infallible> {
+async fn about(id: String, requests: Request, cancel: bool) -> Result<Reply, Infallible> {
     let Some(job) = names::job(&id) else { return Ok(to_user(&Answer::NotFound)) };
     let input = |req| match cancel {
         true => Input::Cancel { req, job },
         false => Input::Poll { req, job },
     };
-    Ok(to_user(&door.ask(input).await))
+    Ok(to_user(&requests.ask(input).await))
 }
 
 fn routes(
-    door: Door,
+    requests: Request,
 ) -> impl Filter<Extract = (impl warp::Reply,), Error = warp::Rejection> + Clone {
-    let ready = door.ready.clone();
-    let with = warp::any().map(move || door.clone());
+    let ready = requests.ready.clone();
+    let with = warp::any().map(move || requests.clone());
     let checkin = warp::path!("checkin")
         .and(warp::post())
         .and(warp::body::stream())
@@ -153,7 +153,7 @@
     let poll = warp::path!("api" / "jobs" / String)
         .and(warp::get())
         .and(with.clone())
-        .and_then(|id, door| about(id, door, false));
+        .and_then(|id, requests| about(id, requests, false));
     let submit = warp::path!("api" / "jobs")
         .and(warp::post())
         .and(warp::body::stream())
@@ -162,7 +162,7 @@
     let cancel = warp::path!("api" / "jobs" / String / "cancel")
         .and(warp::post())
         .and(with)
-        .and_then(|id, door| about(id, door, true));
+        .and_then(|id, requests| about(id, requests, true));
     let ready =
         warp::path!("ready").and(warp::get()).map(move || match ready.load(Ordering::Relaxed) {
             true => reply(200, "{}".into(), None),
@@ -172,9 +172,9 @@
 }
 
 /// Serves until the process ends. Connections beyond the bound are closed at once.
-pub async fn serve(listener: TcpListener, most: usize, door: Door) {
+pub async fn serve(listener: TcpListener, most: usize, requests: Request) {
     let room = Arc::new(Semaphore::new(most));
-    let routes = routes(door);
+    let routes = routes(requests);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/basaltrail/src/settings_tests.rs
+++ b/crates/basaltrail/src/settings_tests.rs
@@ -23,8 +23,8 @@
             1,
         );
         let p = parse("s.toml", &text).unwrap();
-        let guest = &p.core.teams[2];
-        assert_eq!((guest.cpus, guest.cpus_max), (0.0, f64::INFINITY));
+        let without_guarantee = &p.core.teams[2];
+        assert_eq!((without_guarantee.cpus, without_guarantee.cpus_max), (0.0, f64::INFINITY));
         assert!(p.core.weight(2).is_finite() && p.core.weight(2) > 0.0);
         assert_eq!(p.core.teams[0].cpus_max, 664.0);
     }
