One place decides whether a worker's lease is renewed; no task is kept without knowledge

An answer renewed a lease although the leader did not know the jobs of the reported tasks: a successor that never held a job queued it to be read and answered meanwhile, and an answer to a report without the present token carried no order at all. Each of a row of short leaderships began again, so that a cancelled task outlived cancel_s.

Change: lease_renewal gives a permit for each answer that renews. Every live task of the report must be of a job that is active by a read recent enough, or the answer stops it; a job without a record has ended once the jobs were read within the right, and before that its machine is refused (503). Answers without the token and of a loading leader carry the stops too. The invariant is judged anew from each answer: renewal_violation is an error line and a counter, and fails simulation, traces and scale. Reports are taken in named steps (leadership/checkin.rs, node/workers.rs). New log lines: worker_answers once a round, worker_answer and jobs_read at debug, leader_seen, jobs_listed.

--- a/crates/basaltrail-core/src/election.rs
+++ b/crates/basaltrail-core/src/election.rs
@@ -115,6 +115,11 @@
         self.view.as_ref()?.holder.as_ref().map(|h| h.record.node.as_str())
     }
 
+    /// The last term that this node knows of, and the revision at which it was read.
+    pub fn seen(&self) -> (Token, u64) {
+        self.view.as_ref().map_or((Token(0), 0), |v| (v.term, v.revision))
+    }
+
     pub fn step_down(&mut self, now: Ms) {
         self.role = Role::Following;
         self.view = None;
--- /dev/null
+++ b/crates/basaltrail-core/src/leadership/checkin.rs
@@ -0,0 +1,176 @@
+//! Answers to workers' reports, step by step. Whether one may renew a lease is decided in
+//! [`crate::lease_renewal`]; here is what the leader does with the report, and its own orders.
+
+use super::*;
+use crate::lease_renewal::{Permit, Refusal};
+
+impl Leadership {
+    /// Takes a report that came while this node is entitled, and answers it. `permit` is what
+    /// [`crate::lease_renewal::Knowledge::permit`] said of it. A report that is refused because
+    /// of a job that is not known yet is taken all the same: what it says is true.
+    ///
+    /// # Errors
+    ///
+    /// Why the lease is not renewed.
+    pub fn checkin(
+        &mut self,
+        ctx: &Context,
+        calls: &mut Calls,
+        report: &Report,
+        permit: Result<Permit, Refusal>,
+        rng: &mut SmallRng,
+    ) -> Result<Answer, Refusal> {
+        if report.token > self.token {
+            // It would drop the answer.
+            return Err(Refusal::HigherToken);
+        }
+        if !self.loaded() {
+            return self.answer_while_loading(ctx, report, permit?);
+        }
+        if self.returned.contains(&report.machine) {
+            return Err(Refusal::MachineReturned);
+        }
+        let ours = self.machines.get(&report.machine).is_some_and(|m| m.ours);
+        if report.token < self.token && !ours {
+            return self.answer_without_token(ctx, &report.machine, permit?);
+        }
+        self.adopt_machine(ctx, calls, report);
+        self.take_report(ctx, calls, report)?;
+        let permit = permit?;
+        if self.changed && ctx.view_is_fresh {
+            self.place(ctx, calls, rng);
+        }
+        self.fill(ctx, &report.machine, rng);
+        let orders = self.orders(ctx, &report.machine, permit.room());
+        Ok(permit.answer(self.token, orders))
+    }
+
+    /// Answers a report of an earlier leadership, or the first of a new machine: it may be a
+    /// late copy, so nothing of it is taken. The answer carries the token, and the next report
+    /// will; it renews the lease like any other.
+    fn answer_without_token(
+        &mut self,
+        ctx: &Context,
+        machine: &MachineId,
+        permit: Permit,
+    ) -> Result<Answer, Refusal> {
+        if let Some(m) = self.machines.get_mut(machine) {
+            if !m.answer_without_token(ctx.now) {
+                return Err(Refusal::NoReportWithToken);
+            }
+        }
+        Ok(permit.answer(self.token, Vec::new()))
+    }
+
+    /// Takes up a machine that nobody expected: a rental that was carried out late, or one
+    /// that an earlier leader asked for. Nothing starts there before it is on the roster, and
+    /// nothing can have been.
+    fn adopt_machine(&mut self, ctx: &Context, calls: &mut Calls, report: &Report) {
+        if !self.machines.contains_key(&report.machine) {
+            let id = report.machine.clone();
+            let m = Machine::new(id, &report.machine_type, &report.zone, report.spot, ctx.now);
+            self.machines.insert(report.machine.clone(), m);
+            calls.log(Level::Info, "machine_adopted", format!("machine={}", report.machine));
+        }
+        self.add_to_roster(ctx, &report.machine);
+    }
+
+    /// Takes what a newer report says into the account of its machine and of its tasks.
+    fn take_report(
+        &mut self,
+        ctx: &Context,
+        calls: &mut Calls,
+        report: &Report,
+    ) -> Result<(), Refusal> {
+        let id = &report.machine;
+        let Some(m) = self.machines.get_mut(id).filter(|m| m.is_newer(report)) else {
+            return Err(Refusal::LateReport);
+        };
+        let first = m.last_checkin.is_none();
+        let usable = m.reconciled && !m.lapsed && m.hears;
+        let changes = m.report(ctx.now, report, ctx.cfg.lease_ms);
+        if first {
+            self.note_machine_up(ctx, calls, id);
+        }
+        self.note_notice(ctx, calls, id);
+        self.apply(ctx, calls, id, changes);
+        self.note_free(id, false);
+        self.note_images(ctx, id);
+        // A machine that was not reconciled for, or late, has become one to place on, and
+        // its room may be what a waiting job lacks.
+        let m = &self.machines[id];
+        let room = Self::type_index(ctx.types, &m.machine_type)
+            .is_some_and(|i| m.used().0 < ctx.types[i].cpus);
+        self.changed |= !usable || (room && self.short_of_room);
+        Ok(())
+    }
+
+    /// The first report of a machine that this leadership takes.
+    fn note_machine_up(&mut self, ctx: &Context, calls: &mut Calls, id: &MachineId) {
+        self.changed = true;
+        let Some(m) = self.machines.get(id) else { return };
+        let age = ctx.now - m.known_since;
+        let detail = format!("machine={} zone={} spot={} age_ms={age}", m.id, m.zone, m.spot);
+        calls.log(Level::Info, "machine_up", detail);
+        let machine_type = ctx.types.iter().find(|t| t.name == m.machine_type);
+        if let (Some(at), Some(machine_type)) = (m.asked_at, machine_type) {
+            self.rental.boots.came(machine_type, &m.zone, ctx.now, ctx.now - at);
+        }
+    }
+
+    /// A machine that the cloud is about to take back is emptied.
+    fn note_notice(&mut self, ctx: &Context, calls: &mut Calls, id: &MachineId) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        if m.notice(ctx.now) && m.returning == Returning::No {
+            m.returning = Returning::Draining;
+            calls.log(Level::Info, "machine_notice", format!("machine={id}"));
+            self.drain(ctx.now, id);
+        }
+    }
+
+    /// What the machine is to do, in at most so many orders.
+    fn orders(&mut self, ctx: &Context, machine: &MachineId, most: usize) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let Some(m) = self.machines.get_mut(machine) else { return orders };
+        let repeat = ctx.cfg.report_ms * 3;
+        for ((task, attempt), e) in m.entries.iter_mut() {
+            if orders.len() >= most {
+                break;
+            }
+            let (task, attempt) = (*task, *attempt);
+            match e.place {
+                Place::Told(TaskState::Exited(why)) => {
+                    let durable = match self.jobs.get(&task.job) {
+                        Some(j) => {
+                            // That a replica is done is nowhere kept.
+                            j.ended.is_some()
+                                || why != Why::Done
+                                || j.spec.is_service()
+                                || j.durable.get(task.index)
+                        }
+                        None => ctx.table.ended(task.job).is_some(),
+                    };
+                    if durable {
+                        orders.push(Order::Forget { task, attempt });
+                    }
+                }
+                Place::Assigned { .. } if !ctx.view_is_fresh => {}
+                Place::Assigned { .. } => {
+                    e.place = Place::Sent;
+                    orders.push(Order::Start { task, attempt });
+                }
+                _ => {
+                    let Some(grace_s) = e.stop else { continue };
+                    // With every answer that renews the lease: what does not hear the stop
+                    // is not renewed either, so it ends by one of the two.
+                    if grace_s <= 0.0 || e.stop_sent.is_none_or(|t| ctx.now >= t + repeat) {
+                        // A second stop with some grace left does not cut a save short.
+                        e.stop_sent = Some(ctx.now);
+                        orders.push(Order::Stop { task, attempt, grace_s });
+                    }
+                }
+            }
+        }
+        orders
+    }
+}
--- a/crates/basaltrail-core/src/leadership/mod.rs
+++ b/crates/basaltrail-core/src/leadership/mod.rs
@@ -17,6 +17,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
+mod checkin;
 mod listing;
 mod placing;
 mod preempting;
@@ -128,6 +129,8 @@
 const RENTALS_MOST: usize = 8;
 /// One in so many machines of a zone that are silent after a takeover is few.
 const UNHEARD_FEW: usize = 8;
+/// Jobs that wait to be read, per megabyte; what a report names beyond that is read later.
+const UNREAD_PER_MB: f64 = 40.0;
 /// Nor more names in one release.
 const RELEASE_MOST: usize = 100;
 /// Machines returned lately, per megabyte; their late reports are not taken for new machines.
@@ -136,8 +139,6 @@
 const TXN_BYTES: usize = 56 * 1024;
 /// Workers' leases for which a write rests that the state service rejected.
 const PARKED_LEASES: Ms = 6;
-/// Orders in one response, to stay under the line limit.
-const ORDERS_MOST: usize = 200;
 
 /// A task that may be stopped for others: by priority, then those with the most time
 /// to lose or none to win, youngest first.
@@ -321,6 +322,13 @@
         leadership
     }
 
+    /// Has the record of a job read of which a worker or a record told.
+    pub fn read_job(&mut self, ctx: &Context, job: JobId) {
+        if self.unknown.len() < (ctx.cfg.memory_mb * UNREAD_PER_MB).max(64.0) as usize {
+            self.unknown.insert(job);
+        }
+    }
+
     pub fn loaded(&self) -> bool {
         self.loading == Loading::Complete
     }
--- a/crates/basaltrail-core/src/leadership/reports.rs
+++ b/crates/basaltrail-core/src/leadership/reports.rs
@@ -1,4 +1,4 @@
-//! Workers' reports, the orders that answer them, and the account of every task.
+//! What workers' reports change in the account of every task.
 
 use super::*;
 
@@ -40,7 +40,7 @@
                 let Some(j) = self.jobs.get_mut(&task.job) else {
                     match ctx.table.ended(task.job) {
                         Some(_) => e.stop = Some(0.0),
-                        None => drop(self.unknown.insert(task.job)),
+                        None => self.read_job(ctx, task.job),
                     }
                     return None;
                 };
@@ -65,7 +65,7 @@
                     e.need = need;
                 }
                 let Some(j) = self.jobs.get_mut(&task.job) else {
-                    self.unknown.insert(task.job);
+                    self.read_job(ctx, task.job);
                     return None;
                 };
                 let mut failed_before = BTreeSet::new();
@@ -138,87 +138,7 @@
         }
     }
 
-    /// Answers a worker that reported to us while we are entitled.
-    pub fn checkin(
-        &mut self,
-        ctx: &Context,
-        calls: &mut Calls,
-        r: &Report,
-        rng: &mut SmallRng,
-    ) -> Answer {
-        let busy = |why| Answer::Busy { retry_s: 1, why };
-        if !self.loaded() {
-            return self.checkin_while_loading(ctx, r);
-        }
-        if self.returned.contains(&r.machine) {
-            return busy("machine returned");
-        }
-        if r.token > self.token {
-            // It would drop our answer.
-            return Answer::Elsewhere { leader: None };
-        }
-        if r.token < self.token {
-            // Of an earlier leadership, or the first word of a new machine: it may be a late
-            // copy. The answer carries our token, and the next report will.
-            match self.machines.get_mut(&r.machine) {
-                Some(m) if m.ours => {}
-                Some(m) => {
-                    if !m.answer_without_token(ctx.now) {
-                        return busy("no word with this token");
-                    }
-                    return Answer::Orders { token: self.token, orders: Vec::new() };
-                }
-                None => return Answer::Orders { token: self.token, orders: Vec::new() },
-            }
-        }
-        if !self.machines.contains_key(&r.machine) {
-            // Nobody expected it: a rental that was carried out late, or one an earlier
-            // leader asked for. Nothing starts there before it is on the roster, and
-            // nothing can have been.
-            let m = Machine::new(r.machine.clone(), &r.machine_type, &r.zone, r.spot, ctx.now);
-            self.machines.insert(r.machine.clone(), m);
-            calls.log(Level::Info, "machine_adopted", format!("machine={}", r.machine));
-        }
-        self.add_to_roster(ctx, &r.machine);
-        let Some(m) = self.machines.get_mut(&r.machine) else { return busy("unknown machine") };
-        if !m.is_newer(r) {
-            return busy("late report");
-        }
-        let first = m.last_checkin.is_none();
-        let usable = m.reconciled && !m.lapsed && m.hears;
-        let changes = m.report(ctx.now, r, ctx.cfg.lease_ms);
-        if first {
-            self.changed = true;
-            let age = ctx.now - m.known_since;
-            let detail = format!("machine={} zone={} spot={} age_ms={age}", m.id, m.zone, m.spot);
-            calls.log(Level::Info, "machine_up", detail);
-            let t = ctx.types.iter().find(|t| t.name == m.machine_type);
-            if let (Some(at), Some(t)) = (m.asked_at, t) {
-                self.rental.boots.came(t, &m.zone, ctx.now, ctx.now - at);
-            }
-        }
-        if m.notice(ctx.now) && m.returning == Returning::No {
-            m.returning = Returning::Draining;
-            calls.log(Level::Info, "machine_notice", format!("machine={}", m.id));
-            self.drain(ctx.now, &r.machine);
-        }
-        self.apply(ctx, calls, &r.machine, changes);
-        self.note_free(&r.machine, false);
-        self.note_images(ctx, &r.machine);
-        // A machine that was not reconciled for, or late, has become one to place on, and
-        // its room may be what a waiting job lacks.
-        let m = &self.machines[&r.machine];
-        let room = Self::type_index(ctx.types, &m.machine_type)
-            .is_some_and(|i| m.used().0 < ctx.types[i].cpus);
-        self.changed |= !usable || (room && self.short_of_room);
-        if self.changed && ctx.view_is_fresh {
-            self.place(ctx, calls, rng);
-        }
-        self.fill(ctx, &r.machine, rng);
-        Answer::Orders { token: self.token, orders: self.orders(ctx, &r.machine) }
-    }
-
-    fn note_images(&mut self, ctx: &Context, machine: &MachineId) {
+    pub(super) fn note_images(&mut self, ctx: &Context, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         let cache = ctx.types.iter().find(|t| t.name == m.machine_type).map_or(0.0, |t| t.cache_gb);
         let running: BTreeSet<JobId> =
@@ -232,7 +152,7 @@
 
     /// Tasks that can save leave a machine that is about to go, and so do those that
     /// cannot be done by then: what they did is lost, and elsewhere they begin sooner.
-    fn drain(&mut self, now: Ms, machine: &MachineId) {
+    pub(super) fn drain(&mut self, now: Ms, machine: &MachineId) {
         let Some(m) = self.machines.get_mut(machine) else { return };
         let left_s = m.gone_at.map_or(0.0, |t| t.saturating_sub(now) as f64 / 1000.0);
         for ((task, _), e) in m.entries.iter_mut().filter(|(_, e)| e.stop.is_none()) {
@@ -270,49 +190,4 @@
             self.changed = true;
         }
     }
-
-    fn orders(&mut self, ctx: &Context, machine: &MachineId) -> Vec<Order> {
-        let mut orders = Vec::new();
-        let Some(m) = self.machines.get_mut(machine) else { return orders };
-        let repeat = ctx.cfg.report_ms * 3;
-        for ((task, attempt), e) in m.entries.iter_mut() {
-            if orders.len() >= ORDERS_MOST {
-                break;
-            }
-            let (task, attempt) = (*task, *attempt);
-            match e.place {
-                Place::Told(TaskState::Exited(why)) => {
-                    let durable = match self.jobs.get(&task.job) {
-                        Some(j) => {
-                            // That a replica is done is nowhere kept.
-                            j.ended.is_some()
-                                || why != Why::Done
-                                || j.spec.is_service()
-                                || j.durable.get(task.index)
-                        }
-                        None => ctx.table.ended(task.job).is_some(),
-                    };
-                    if durable {
-                        orders.push(Order::Forget { task, attempt });
-                    }
-                }
-                Place::Assigned { .. } if !ctx.view_is_fresh => {}
-                Place::Assigned { .. } => {
-                    e.place = Place::Sent;
-                    orders.push(Order::Start { task, attempt });
-                }
-                _ => {
-                    let Some(grace_s) = e.stop else { continue };
-                    // With every answer that renews the lease: what does not hear the stop
-                    // is not renewed either, so it ends by one of the two.
-                    if grace_s <= 0.0 || e.stop_sent.is_none_or(|t| ctx.now >= t + repeat) {
-                        // A second stop with some grace left does not cut a save short.
-                        e.stop_sent = Some(ctx.now);
-                        orders.push(Order::Stop { task, attempt, grace_s });
-                    }
-                }
-            }
-        }
-        orders
-    }
 }
--- a/crates/basaltrail-core/src/leadership/standing_tests.rs
+++ b/crates/basaltrail-core/src/leadership/standing_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::lease_renewal::Knowledge;
 use crate::settings::sample::{a_job, a_type, settings};
 use crate::settings::{Objective, Team};
 
@@ -201,8 +202,13 @@
     }
     use rand::SeedableRng;
     let mut rng = SmallRng::seed_from_u64(1);
-    let answer = leadership.checkin(&bench.ctx(200), &mut Calls::default(), &report, &mut rng);
-    let Answer::Orders { orders, .. } = answer else { panic!("{answer:?}") };
+    let ctx = bench.ctx(200);
+    let (cfg, table) = (ctx.cfg, ctx.table);
+    let (entitled_since, jobs_as_of) = (Some(0), Some(100));
+    let knowledge = Knowledge { cfg, table, now: 200, entitled_since, jobs_as_of };
+    let permit = knowledge.permit(&report);
+    let answer = leadership.checkin(&ctx, &mut Calls::default(), &report, permit, &mut rng);
+    let Ok(Answer::Orders { orders, .. }) = answer else { panic!("{answer:?}") };
     let stops = |o: &Order| matches!(o, Order::Stop { task, .. } if task.job == JobId(1));
     assert!(orders.iter().any(stops), "{orders:?}");
 }
--- a/crates/basaltrail-core/src/leadership/takeover.rs
+++ b/crates/basaltrail-core/src/leadership/takeover.rs
@@ -1,6 +1,7 @@
 //! What an earlier leader left, and what the table of jobs says.
 
 use super::*;
+use crate::lease_renewal::{Permit, Refusal};
 
 /// Answers to a machine that were given before the roster was read.
 #[derive(Default)]
@@ -16,27 +17,29 @@
     /// answer renews the worker's lease: were it refused, all leases would run out where the
     /// state service is slow, or fails, just after the election. Nothing is started, and what
     /// the answer may have renewed is counted once the roster is read.
-    pub(super) fn checkin_while_loading(&mut self, ctx: &Context, report: &Report) -> Answer {
-        let busy = |why| Answer::Busy { retry_s: 1, why };
-        if report.token > self.token {
-            // It would drop the answer.
-            return Answer::Elsewhere { leader: None };
-        }
+    ///
+    /// # Errors
+    ///
+    /// Why the lease is not renewed.
+    pub(super) fn answer_while_loading(
+        &mut self,
+        ctx: &Context,
+        report: &Report,
+        permit: Permit,
+    ) -> Result<Answer, Refusal> {
         let known = self.early_answers.contains_key(&report.machine);
         if !known && self.early_answers.len() >= ctx.cfg.machines_most {
-            return busy("loading");
+            return Err(Refusal::Loading);
         }
         let answers = self.early_answers.entry(report.machine.clone()).or_default();
-        let mut orders = Vec::new();
-        if report.token == self.token {
-            orders = stops_of_ended_jobs(ctx.table, report);
-        } else if answers.without_token >= ANSWERS_WITHOUT_TOKEN {
-            return busy("no word with this token");
-        } else {
+        if report.token < self.token {
+            if answers.without_token >= ANSWERS_WITHOUT_TOKEN {
+                return Err(Refusal::NoReportWithToken);
+            }
             answers.without_token += 1;
         }
         answers.renewed = ctx.now;
-        Answer::Orders { token: self.token, orders }
+        Ok(permit.answer(self.token, Vec::new()))
     }
 
     /// Counts what was answered to a machine of the roster before the roster was read.
@@ -230,15 +233,6 @@
     }
 }
 
-/// Stops for the tasks in a report whose jobs have ended.
-fn stops_of_ended_jobs(table: &Table, report: &Report) -> Vec<Order> {
-    let ended = |t: &&TaskReport| {
-        !matches!(t.state, TaskState::Exited(_)) && table.ended(t.task.job).is_some()
-    };
-    let stop = |t: &TaskReport| Order::Stop { task: t.task, attempt: t.attempt, grace_s: 0.0 };
-    report.tasks.iter().filter(ended).take(ORDERS_MOST).map(stop).collect()
-}
-
 #[cfg(test)]
 #[path = "takeover_tests.rs"]
 mod tests;
--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod io;
 pub mod jobs;
 pub mod leadership;
+pub mod lease_renewal;
 pub mod model;
 pub mod node;
 pub mod placement;
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -6,6 +6,7 @@
 use crate::io::*;
 use crate::jobs::Table;
 use crate::leadership::{Context, Leadership};
+use crate::lease_renewal::AnswerCounters;
 use crate::model::*;
 use crate::records::*;
 use crate::requests::{impossible, Ask, Kind, NewJob, RequestQueue};
@@ -16,6 +17,7 @@
 
 mod replies;
 mod users;
+mod workers;
 
 /// Of the limits, what we use: the rest is for calls that were counted late.
 const RATE_USED: f64 = 0.9;
@@ -58,6 +60,11 @@
     /// When a peer last told of progress, as only a leader does.
     leader_heard: Ms,
     leads: Option<bool>,
+    /// How workers' reports were answered since the last line about it.
+    answers: AnswerCounters,
+    next_answers_log: Ms,
+    /// The leader that this node last knew of, as logged.
+    leader_logged: Option<String>,
 }
 
 impl Node {
@@ -90,6 +97,9 @@
             state_ok: 0,
             leader_heard: 0,
             leads: None,
+            answers: AnswerCounters::default(),
+            next_answers_log: 0,
+            leader_logged: None,
             cfg,
         }
     }
@@ -203,6 +213,8 @@
         }
         self.read_unknown();
         self.tell_progress();
+        self.log_answers();
+        self.log_leader();
     }
 
     fn shares(&mut self) {
@@ -366,28 +378,6 @@
             self.calls.out.push(Effect::Peers { progress });
         }
     }
-
-    // ---- workers ----
-
-    fn checkin(&mut self, req: ReqId, report: &Report) {
-        // What we answer keeps a task for a lease more, and it may be of a job whose user was
-        // told long ago that it is cancelled.
-        let recent = self.jobs_as_of.is_some_and(|t| self.now <= t + self.cfg.view_age_most_ms());
-        let answer = if !self.election.entitled(self.now) {
-            None
-        } else if !recent {
-            Some(Answer::Busy { retry_s: 1, why: "jobs not read" })
-        } else {
-            self.with_leadership(|leadership, ctx, calls, rng| {
-                leadership.checkin(ctx, calls, report, rng)
-            })
-        };
-        let answer = answer.unwrap_or_else(|| {
-            let leader = self.election.leader_hint().filter(|l| *l != self.cfg.node);
-            Answer::Elsewhere { leader: leader.map(str::to_string) }
-        });
-        self.calls.answer(req, answer);
-    }
 }
 
 #[cfg(test)]
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -62,6 +62,13 @@
                         }
                         self.jobs_revision = self.jobs_revision.max(Some(revision));
                         self.jobs_as_of = self.jobs_as_of.max(Some(sent));
+                        if catch_up || !events.is_empty() {
+                            let (news, took) = (events.len(), self.now - sent);
+                            let detail = format!(
+                                "revision={revision} news={news} catch_up={catch_up} took_ms={took}"
+                            );
+                            self.calls.log(Level::Debug, "jobs_read", detail);
+                        }
                     }
                     StateReply::Compacted => self.jobs_revision = None,
                     _ => *pause = self.now + self.cfg.report_ms / 4,
@@ -202,6 +209,7 @@
     pub(super) fn unread(&mut self, job: JobId, asks: Vec<Ask>) {
         if asks.is_empty() {
             if let Some(r) = self.leadership.as_mut() {
+                // Read again while it is not known; see `read_unknown`.
                 r.unknown.insert(job);
             }
         }
@@ -249,6 +257,9 @@
         self.jobs_revision = Some(first);
         self.jobs_as_of = self.jobs_as_of.max(Some(sent));
         self.jobs_loaded = true;
+        let (active, took) = (self.table.active.len(), self.now - sent);
+        let detail = format!("revision={first} active={active} took_ms={took}");
+        self.calls.log(Level::Info, "jobs_listed", detail);
     }
 
     pub(super) fn submitted(&mut self, batch: Vec<NewJob>, reply: StateReply) {
--- a/crates/basaltrail-core/tests/scale.rs
+++ b/crates/basaltrail-core/tests/scale.rs
@@ -103,6 +103,7 @@
                 Effect::Answer { req, answer } => self.orders(req, answer),
                 Effect::State { op, call, .. } => self.state(op, call),
                 Effect::Cloud { op, call, .. } => self.cloud(op, call),
+                Effect::Log { event: "renewal_violation", detail, .. } => panic!("{detail}"),
                 _ => {}
             }
         }
--- a/crates/basaltrail-core/tests/simulation/simulated/meetings.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/meetings.rs
@@ -538,7 +538,8 @@
 /// versions do keep them, so none runs beside the present one here.
 #[test]
 fn leaders_end_every_few_seconds_after_cancellations() {
-    for back in [20, 3_000] {
+    // A worker gets an answer or two of each; or one of some, before it shows the token.
+    for (back, lives) in [(20, 300..1_300), (3_000, 300..1_300), (20, 50..450)] {
         days(&[RAN], |w| {
             w.run_only(Version::Current);
             w.long = true;
@@ -555,8 +556,7 @@
                     }
                 }
                 w.led();
-                // A worker gets an answer or two of it.
-                let lives = w.rng.random_range(300..1_300);
+                let lives = w.rng.random_range(lives.clone());
                 w.wait(lives);
             }
         });
--- a/crates/basaltrail-core/tests/simulation/simulated/nodes.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/nodes.rs
@@ -79,6 +79,11 @@
                     self.send(at, i, epoch, Msg::Cloud(op, call));
                 }
                 Effect::Peers { progress } => self.tell_peers(i, goes, &progress),
+                Effect::Log { event: "renewal_violation", detail, .. } => {
+                    self.rule(format!(
+                        "node {i}: an answer without the knowledge it takes: {detail}"
+                    ));
+                }
                 Effect::Log { .. } => {}
             }
         }
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -243,6 +243,7 @@
                         let line = self.tell(&answer);
                         self.out.push(line);
                     }
+                    Effect::Log { event: "renewal_violation", detail, .. } => panic!("{detail}"),
                     _ => {}
                 }
             }
