Testbed: soaks of the real program over loopback, with a checker of PROTOCOL's rules

Change: crates/basaltrail-testbed with stand-ins of the state service, cloud, workers and users, one proxy on every link, kills and pauses of own children, twenty kinds of faults, a history as JSON lines and a checker whose verdict rests on logical times. Lines of single answers are made at debug only.

--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -60,6 +60,8 @@
     /// When a peer last told of progress, as only a leader does.
     leader_heard: Ms,
     leads: Option<bool>,
+    /// Whether single answers and reads are logged, which takes time for each of them.
+    verbose: bool,
     /// How workers' reports were answered since the last line about it.
     answers: AnswerCounters,
     next_answers_log: Ms,
@@ -97,6 +99,7 @@
             state_ok: 0,
             leader_heard: 0,
             leads: None,
+            verbose: false,
             answers: AnswerCounters::default(),
             next_answers_log: 0,
             leader_logged: None,
@@ -104,6 +107,11 @@
         }
     }
 
+    /// Whether it logs single answers to workers and reads of the jobs (debug).
+    pub fn set_verbose(&mut self, verbose: bool) {
+        self.verbose = verbose;
+    }
+
     /// Whether this node can take requests.
     pub fn ready(&self) -> bool {
         // In an outage nobody does better: the users stay where they are. A node that still
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -62,7 +62,7 @@
                         }
                         self.jobs_revision = self.jobs_revision.max(Some(revision));
                         self.jobs_as_of = self.jobs_as_of.max(Some(sent));
-                        if catch_up || !events.is_empty() {
+                        if self.verbose && (catch_up || !events.is_empty()) {
                             let (news, took) = (events.len(), self.now - sent);
                             let detail = format!(
                                 "revision={revision} news={news} catch_up={catch_up} took_ms={took}"
--- a/crates/basaltrail-core/src/node/workers.rs
+++ b/crates/basaltrail-core/src/node/workers.rs
@@ -63,6 +63,9 @@
     }
 
     fn log_decision(&mut self, report: &Report, decision: &Result<Answer, Refusal>) {
+        if !self.verbose {
+            return;
+        }
         let verdict = match decision {
             Ok(Answer::Orders { token, orders }) => {
                 format!("renewed token={} orders={}", token.0, orders.len())
--- /dev/null
+++ b/crates/basaltrail-testbed/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins of the systems that a basaltrail deployment talks to, a proxy that cuts and delays
+//! its connections, and a checker of what users and workers saw. [`soak`] plays them against
+//! controllers that are the real program, all on loopback of one machine.
+#![warn(missing_docs)]
+
+pub mod checker;
+pub mod clock;
+pub mod cloud;
+pub mod controllers;
+pub mod deployment;
+pub mod faults;
+pub mod history;
+pub mod http;
+pub mod proxy;
+pub mod soak;
+pub mod state;
+pub mod users;
+pub mod worker;
--- /dev/null
+++ b/crates/basaltrail-testbed/src/users.rs
@@ -0,0 +1,312 @@
+//! Stand-in of users: they submit jobs, repeat, poll and cancel, each through a controller drawn
+//! at random, as a load balancer of connections would have it.
+
+use crate::clock::{Clock, Ms};
+use crate::deployment::{Deployment, ZONES};
+use crate::history::{Condition, History, JobShape, Question, What};
+use crate::http::{Answer, Client};
+use crate::worker::{JobDescriptions, JobWork};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// How long users wait for an answer to a question, and to anything else.
+const POLL_PATIENCE: Duration = Duration::from_millis(2_000);
+const PATIENCE: Duration = Duration::from_millis(5_000);
+/// Users ask about their jobs about so often.
+const POLL_MS: Ms = 1_000;
+/// A submission is tried for so long.
+const SUBMIT_MS: Ms = 60_000;
+/// The longest `Retry-After` that a user follows.
+const RETRY_MOST_S: u64 = 30;
+/// The first number of jobs that nobody submits.
+const STRANGERS: u64 = 900_000;
+
+/// What a user was last told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Nothing yet.
+    Nothing,
+    /// That the job is accepted.
+    Accepted,
+    /// That it is done or cancelled.
+    Over,
+    /// That it can't be taken; it is not repeated.
+    Refused,
+}
+
+/// A job as its user sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    /// What its user was last told.
+    pub told: Told,
+    /// When a question about it was last answered.
+    pub answered: Ms,
+}
+
+/// What all users of a run share.
+pub struct Users {
+    /// The run's clock.
+    pub clock: Clock,
+    /// The run's history.
+    pub history: History,
+    /// The deployment.
+    pub deployment: Deployment,
+    /// The jobs, for the workers.
+    pub jobs: JobDescriptions,
+    /// Where users reach each controller.
+    pub nodes: Vec<SocketAddr>,
+    /// What each user was told, by job.
+    pub seen: Mutex<BTreeMap<u64, Seen>>,
+    /// Jobs whose users are to cancel now.
+    pub called_off: Mutex<Vec<u64>>,
+    /// The run is over.
+    pub over: AtomicBool,
+}
+
+impl Users {
+    /// What the users were told, by job.
+    pub fn seen(&self) -> BTreeMap<u64, Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Jobs that are accepted and not over.
+    pub fn live(&self) -> Vec<u64> {
+        let accepted = |(job, seen): (u64, Seen)| (seen.told == Told::Accepted).then_some(job);
+        self.seen().into_iter().filter_map(accepted).collect()
+    }
+
+    /// Has users cancel their jobs, at once.
+    pub fn call_off(&self, jobs: &[u64]) {
+        self.called_off.lock().unwrap_or_else(PoisonError::into_inner).extend(jobs);
+    }
+
+    fn is_called_off(&self, job: u64) -> bool {
+        let mut called_off = self.called_off.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = called_off.iter().position(|other| *other == job);
+        found.map(|at| called_off.swap_remove(at)).is_some()
+    }
+
+    fn note(&self, job: u64, at: Ms, told: Told) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.insert(job, Seen { told, answered: at });
+    }
+}
+
+/// One user with one job.
+struct User {
+    shared: Arc<Users>,
+    rng: SmallRng,
+    client: Client,
+    job: u64,
+    body: Value,
+}
+
+/// Submits jobs until a moment, some more than the machines can run at once.
+pub async fn submit_jobs(users: Arc<Users>, until: Ms, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut job = 1_000;
+    // Work for a few times the machines is there from the first moment on.
+    let at_once = users.deployment.machines / 3 + 4;
+    while users.clock.now() < until {
+        let (body, work) = draw_job(&mut rng, &users.deployment, job);
+        let user = User {
+            shared: users.clone(),
+            rng: SmallRng::seed_from_u64(rng.random()),
+            client: Client::default(),
+            job,
+            body,
+        };
+        tokio::spawn(user.run(work));
+        job += 1;
+        if job > 1_000 + at_once as u64 {
+            let pause = rng.random_range(100..60_000 / (users.deployment.machines as Ms + 20));
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+}
+
+/// Asks for jobs that nobody submitted until the run is over.
+pub async fn ask_for_strangers(users: Arc<Users>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let client = Client::default();
+    while !users.over.load(Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(rng.random_range(500..2_000))).await;
+        let job = STRANGERS + rng.random_range(0..1_000);
+        let Some(node) = users.nodes.choose(&mut rng) else { return };
+        let path = format!("/api/jobs/job-{job:06}");
+        let answer = client.call(*node, "GET", &path, String::new(), POLL_PATIENCE).await;
+        if let Some(answer) = answer {
+            let told = What::StrangerTold { job, status: answer.status };
+            users.history.add(users.clock.now(), told);
+        }
+    }
+}
+
+fn draw_job(rng: &mut SmallRng, deployment: &Deployment, job: u64) -> (Value, JobWork) {
+    let team = deployment.teams[rng.random_range(0..deployment.teams.len())].name;
+    let service = rng.random_bool(0.06);
+    let shape = JobShape {
+        team: team.into(),
+        tasks: if service { rng.random_range(1..4) } else { rng.random_range(1..13) },
+        cpus: if service { 1.0 } else { [1.0, 2.0, 4.0][rng.random_range(0..3)] },
+        spot: rng.random_bool(0.7),
+        zone: rng.random_bool(0.1).then(|| ZONES[rng.random_range(0..ZONES.len())].into()),
+        service,
+    };
+    // Some run on for longer than a cancellation may take.
+    let run_ms = match rng.random_bool(0.5) {
+        true => rng.random_range(deployment.cancel_ms..deployment.cancel_ms * 2),
+        false => rng.random_range(500..4_000),
+    };
+    let body = json!({"nameId": format!("job-{job:06}"),
+        "shelf": if service { "service" } else { "array" },
+        "desk": shape.team, "binding": if service { "daemon" } else { "array" },
+        "precedence": if service { "critical" } else { "standard" }, "leaves": shape.tasks,
+        "vcpus": shape.cpus, "gpus": 0.0, "ramGb": 1.0, "edition": format!("img-{}", job % 3),
+        "sizeGb": 0.5, "formats": null, "room": shape.zone, "samePlace": false, "apart": false,
+        "remainders": shape.spot, "reckonS": if service { 0.0 } else { run_ms as f64 / 1000.0 },
+        "bookmarkS": 0.0, "pressS": 0.0, "dueS": null});
+    (body, JobWork { shape, run_ms })
+}
+
+impl User {
+    async fn run(mut self, work: JobWork) {
+        let shared = self.shared.clone();
+        let clock = shared.clock;
+        let service = work.shape.service;
+        shared.jobs.upload(self.job, work.clone());
+        shared.history.add(clock.now(), What::Submitting { job: self.job, shape: work.shape });
+        shared.note(self.job, clock.now(), Told::Nothing);
+        if !self.submit(clock.now() + SUBMIT_MS).await {
+            return;
+        }
+        let cancel_after = match service {
+            true => self.rng.random_range(5_000..25_000),
+            false if self.rng.random_bool(0.15) => self.rng.random_range(200..12_000),
+            false => Ms::MAX / 2,
+        };
+        let cancel_at = clock.now() + cancel_after;
+        let mut cancels = false;
+        while !shared.over.load(Ordering::Relaxed) {
+            if !cancels && (clock.now() >= cancel_at || shared.is_called_off(self.job)) {
+                cancels = true;
+                shared.history.add(clock.now(), What::Cancelling { job: self.job });
+            }
+            let question = match cancels {
+                true => Question::Cancel,
+                false if self.rng.random_bool(0.03) => Question::Submit,
+                false => Question::Poll,
+            };
+            let answer = self.ask(question).await;
+            if self.is_over(&answer) {
+                break;
+            }
+            self.pause(&answer, cancels).await;
+        }
+        self.look_again().await;
+    }
+
+    fn is_over(&self, answer: &Option<Answer>) -> bool {
+        let condition = answer.as_ref().and_then(condition);
+        matches!(condition, Some(Condition::Done | Condition::Aborted))
+    }
+
+    /// Waits until the next request, or until the job is called off.
+    async fn pause(&mut self, answer: &Option<Answer>, cancels: bool) {
+        let retry_s = answer.as_ref().and_then(|answer| answer.retry_after_s).unwrap_or(0);
+        let retry_ms = retry_s.min(RETRY_MOST_S) * 1_000;
+        let until =
+            self.shared.clock.now() + retry_ms.max(self.rng.random_range(POLL_MS / 2..POLL_MS));
+        while self.shared.clock.now() < until {
+            let called_off = {
+                let jobs = &self.shared.called_off;
+                jobs.lock().unwrap_or_else(PoisonError::into_inner).contains(&self.job)
+            };
+            if (called_off && !cancels) || self.shared.over.load(Ordering::Relaxed) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(40)).await;
+        }
+    }
+
+    /// Submits until the job is accepted; false if it is not.
+    async fn submit(&mut self, until: Ms) -> bool {
+        while self.shared.clock.now() < until && !self.shared.over.load(Ordering::Relaxed) {
+            let answer = self.ask(Question::Submit).await;
+            match answer.as_ref().map(|answer| answer.status) {
+                Some(200 | 201) => return true,
+                Some(400 | 422) => {
+                    self.shared.note(self.job, self.shared.clock.now(), Told::Refused);
+                    return false;
+                }
+                _ => self.pause(&answer, true).await,
+            }
+        }
+        false
+    }
+
+    /// What was told stays so, wherever it is asked.
+    async fn look_again(&mut self) {
+        for _ in 0..4 {
+            let question = match self.rng.random_range(0..4) {
+                0 => Question::Submit,
+                _ => Question::Poll,
+            };
+            self.ask(question).await;
+            let pause = self.rng.random_range(5..3_000);
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+    }
+
+    /// One request, with what comes of it in the history.
+    async fn ask(&mut self, question: Question) -> Option<Answer> {
+        let name = format!("/api/jobs/job-{:06}", self.job);
+        let (method, path, body, patience) = match question {
+            Question::Submit => ("POST", "/api/jobs".into(), self.body.to_string(), PATIENCE),
+            Question::Poll => ("GET", name, String::new(), POLL_PATIENCE),
+            Question::Cancel => ("POST", format!("{name}/cancel"), String::new(), PATIENCE),
+        };
+        let node = self.rng.random_range(0..self.shared.nodes.len());
+        let asked_ms = self.shared.clock.now();
+        let to = self.shared.nodes[node];
+        let answer = self.client.call(to, method, &path, body, patience).await;
+        let now = self.shared.clock.now();
+        let told = What::Told {
+            job: self.job,
+            question,
+            asked_ms,
+            node,
+            status: answer.as_ref().map(|answer| answer.status),
+            condition: answer.as_ref().and_then(condition),
+        };
+        self.shared.history.add(now, told);
+        match answer.as_ref().and_then(condition) {
+            Some(Condition::Done | Condition::Aborted) => {
+                self.shared.note(self.job, now, Told::Over);
+            }
+            Some(_) => self.shared.note(self.job, now, Told::Accepted),
+            None => {}
+        }
+        answer
+    }
+}
+
+fn condition(answer: &Answer) -> Option<Condition> {
+    if !matches!(answer.status, 200 | 201) {
+        return None;
+    }
+    Some(match answer.body["condition"].as_str()? {
+        "queued" => Condition::Queued,
+        "running" => Condition::Running,
+        "done" => Condition::Done,
+        "aborted" => Condition::Aborted,
+        _ => return None,
+    })
+}
--- a/crates/basaltrail/src/driver.rs
+++ b/crates/basaltrail/src/driver.rs
@@ -52,8 +52,10 @@
     }
     let seed = settings.core.incarnation;
     let node = settings.core.node.clone();
+    let mut core = Node::new(Arc::new(settings.core), seed);
+    core.set_verbose(logging::is_debug());
     let mut driver = Driver {
-        node: Node::new(Arc::new(settings.core), seed),
+        node: core,
         started: Instant::now(),
         waiting: HashMap::new(),
         http: Http::new(),
--- a/crates/basaltrail/src/logging.rs
+++ b/crates/basaltrail/src/logging.rs
@@ -26,6 +26,11 @@
     }
 }
 
+/// Whether lines of the level `debug` are written.
+pub fn is_debug() -> bool {
+    tracing::enabled!(tracing::Level::DEBUG)
+}
+
 pub fn event(level: Level, event: &str, detail: &str) {
     match level {
         Level::Error => tracing::error!("event={event} {detail}"),
