Testbed: a higher token counts as a change once in half a lease; ports that nobody else takes

Change: PROTOCOL's rule for higher tokens in the worker, reports every second, leaders that live for less than a report; controllers' ports lie below those drawn for :0.

--- a/crates/basaltrail-testbed/src/deployment.rs
+++ b/crates/basaltrail-testbed/src/deployment.rs
@@ -67,7 +67,7 @@
         Deployment {
             nodes,
             machines,
-            report_ms: 500,
+            report_ms: 1_000,
             lease_ms: 6_000,
             cancel_ms: 14_000,
             list_lag_ms: 1_000,
--- a/crates/basaltrail-testbed/src/faults.rs
+++ b/crates/basaltrail-testbed/src/faults.rs
@@ -230,7 +230,9 @@
             while self.fleet.token.load(Ordering::Relaxed) <= token && self.clock.now() < until {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
-            tokio::time::sleep(Duration::from_millis(rng.random_range(20..700))).await;
+            // Mostly too short for a worker's second report to it.
+            let lives = rng.random_range(100..self.deployment.report_ms);
+            tokio::time::sleep(Duration::from_millis(lives)).await;
         }
         Ok(())
     }
--- a/crates/basaltrail-testbed/src/http.rs
+++ b/crates/basaltrail-testbed/src/http.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use warp::http::StatusCode;
@@ -95,11 +96,27 @@
     Ok(address)
 }
 
-/// A port of loopback that is free at the moment.
+/// Ports that are given to controllers: below those that systems draw from for `:0`, so that no
+/// other stand-in takes one between its choice and the controller's start, or its next.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+
+/// A port of loopback that is free and that no other call in this process was given.
 ///
 /// # Errors
 ///
 /// If there is none.
 pub fn free_port() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let count = u32::from(PORTS.end - PORTS.start);
+    // Processes that run at the same time begin in different places.
+    let begin = std::process::id().wrapping_mul(97) % count;
+    for _ in 0..count {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = PORTS.start + ((begin + step) % count) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+    Err(std::io::Error::other("no port is free"))
 }
--- a/crates/basaltrail-testbed/src/worker.rs
+++ b/crates/basaltrail-testbed/src/worker.rs
@@ -153,6 +153,8 @@
     renewed: Ms,
     tasks: BTreeMap<TaskKey, Task>,
     changed: bool,
+    /// When a higher token last counted as a change: at most once in half a lease.
+    token_changed: Option<Ms>,
 }
 
 /// Runs a machine's worker until the machine is gone or the run is over.
@@ -178,6 +180,7 @@
         renewed: up,
         tasks: BTreeMap::new(),
         changed: false,
+        token_changed: None,
     };
     let mut node = worker.rng.random_range(0..addresses.len());
     let mut next = up;
@@ -342,7 +345,11 @@
         if token < self.token || report["tenure"].as_u64() != Some(self.session) {
             return;
         }
-        self.changed |= token > self.token;
+        let half = self.fleet.deployment.lease_ms / 2;
+        if token > self.token && self.token_changed.is_none_or(|at| now >= at + half) {
+            self.token_changed = Some(now);
+            self.changed = true;
+        }
         self.token = token;
         self.renewed = self.renewed.max(sent);
         if self.fleet.token.fetch_max(token, Ordering::Relaxed) <= token {
