Loopback tests use the testbed's stand-ins of the state service and the cloud

Cause: two stand-ins of the same protocols. Change: those of tests/loopback.rs are gone; its worker and its requests stay.

--- a/crates/basaltrail/tests/loopback.rs
+++ b/crates/basaltrail/tests/loopback.rs
@@ -1,173 +1,29 @@
 //! The real program on loopback, against stand-ins of the state service, the cloud and
 //! one worker: answers, bad input, a kill and a restart.
 
+use basaltrail_testbed::clock::Clock;
+use basaltrail_testbed::cloud::Cloud;
+use basaltrail_testbed::deployment::{Deployment, MACHINE_TYPE, ZONES};
+use basaltrail_testbed::http::free_port;
+use basaltrail_testbed::state::{Limits, StateService};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, HashMap};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use warp::http::StatusCode;
-use warp::Filter;
 
-#[derive(Default)]
-struct Store {
-    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
-    revision: u64,
-    loans: u64,
-    log: Vec<Value>,
-}
-
-type Shared = Arc<Mutex<Store>>;
-type Answer = Box<dyn warp::Reply>;
-
-fn reply(status: u16, body: Value) -> Answer {
-    Box::new(warp::reply::with_status(
-        warp::reply::json(&body),
-        StatusCode::from_u16(status).unwrap(),
-    ))
-}
-
-impl Store {
-    fn row(&self, key: &str) -> Option<Value> {
-        let (v, stamp, loan) = self.keys.get(key)?;
-        Some(json!({"key": key, "v": v, "stamp": stamp, "loan": loan}))
-    }
-
-    fn txn(&mut self, body: &Value) -> (u16, Value) {
-        let none = Vec::new();
-        let list = |name: &str| body[name].as_array().unwrap_or(&none).clone();
-        let failed: Vec<Value> = list("if")
-            .iter()
-            .filter(|c| {
-                self.keys.get(c["key"].as_str().unwrap()).map_or(0, |k| k.1)
-                    != c["stamp"].as_u64().unwrap()
-            })
-            .map(|c| c["key"].clone())
-            .collect();
-        if !failed.is_empty() {
-            return (409, json!({"failed": failed, "impression": self.revision}));
-        }
-        let changes = list("apply");
-        self.revision += !changes.is_empty() as u64;
-        for c in changes {
-            if let Some(key) = c["put"].as_str() {
-                self.keys.insert(key.into(), (c["v"].clone(), self.revision, c["loan"].as_u64()));
-                self.log.push(
-                    json!({"put": key, "v": c["v"], "stamp": self.revision, "loan": c["loan"]}),
-                );
-            } else if let Some(key) = c["remove"].as_str() {
-                self.remove(key);
-            }
-        }
-        (200, json!({"impression": self.revision}))
-    }
-
-    fn remove(&mut self, key: &str) {
-        if self.keys.remove(key).is_some() {
-            self.log.push(json!({"remove": key, "stamp": self.revision}));
-        }
-    }
-}
-
-async fn serve_state(store: Shared) -> SocketAddr {
-    type Query = HashMap<String, String>;
-    let with = warp::any().map(move || store.clone());
-    let get = warp::path("kv")
-        .and(warp::path::tail())
-        .and(warp::get())
-        .and(warp::query::<Query>())
-        .and(with.clone())
-        .map(|tail: warp::path::Tail, q: Query, s: Shared| {
-            let s = s.lock().unwrap();
-            if let Some(prefix) = q.get("starts") {
-                let after = q.get("after").cloned().unwrap_or_default();
-                let keys = s.keys.keys().filter(|k| k.starts_with(prefix) && **k > after);
-                let rows: Vec<Value> = keys.filter_map(|k| s.row(k)).collect();
-                return reply(
-                    200,
-                    json!({"rows": rows, "truncated": false, "impression": s.revision}),
-                );
-            }
-            match s.row(tail.as_str()) {
-                Some(row) => reply(200, row),
-                None => reply(404, json!({"impression": s.revision})),
-            }
-        });
-    let txn = warp::path!("txn").and(warp::post()).and(warp::body::json()).and(with.clone()).map(
-        |body: Value, s: Shared| {
-            let (status, body) = s.lock().unwrap().txn(&body);
-            reply(status, body)
-        },
-    );
-    let grant = warp::path!("grants").and(warp::post()).and(with.clone()).map(|s: Shared| {
-        let mut s = s.lock().unwrap();
-        s.loans += 1;
-        reply(200, json!({"loan": s.loans}))
-    });
-    let extend =
-        warp::path!("grants" / u64 / "extend").and(warp::post()).map(|_| reply(200, json!({})));
-    let revoke = warp::path!("grants" / u64).and(warp::delete()).and(with.clone()).map(
-        |loan: u64, s: Shared| {
-            let mut s = s.lock().unwrap();
-            s.revision += 1;
-            let keys: Vec<String> =
-                s.keys.iter().filter(|(_, k)| k.2 == Some(loan)).map(|(k, _)| k.clone()).collect();
-            keys.iter().for_each(|k| s.remove(k));
-            reply(200, json!({}))
-        },
-    );
-    let watch = warp::path!("changes").and(warp::get()).and(warp::query::<Query>()).and(with).then(
-        |q: Query, s: Shared| async move {
-            let after: u64 = q["after"].parse().unwrap();
-            let until = Instant::now() + Duration::from_millis(q["blockMs"].parse().unwrap());
-            loop {
-                {
-                    let s = s.lock().unwrap();
-                    let ours = |e: &&Value| {
-                        let key = e["put"].as_str().or(e["remove"].as_str()).unwrap();
-                        key.starts_with(&q["starts"]) && e["stamp"].as_u64().unwrap() > after
-                    };
-                    let news: Vec<&Value> = s.log.iter().filter(ours).collect();
-                    if !news.is_empty() || Instant::now() > until {
-                        return reply(200, json!({"impression": s.revision, "news": news}));
-                    }
-                }
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            }
-        },
-    );
-    start(get.or(txn).or(grant).or(extend).or(revoke).or(watch)).await
+/// A state service without faults, with limits that one node does not reach.
+async fn serve_state() -> SocketAddr {
+    let limits = Limits { rps: 1_000.0, write_rps: 1_000.0, txn_ops: 24, value_bytes: 16 * 1024 };
+    StateService::start(Clock::start(), limits, 1).listen(0).await.unwrap()
 }
 
+/// A cloud without machines: the worker here is none of its own.
 async fn serve_cloud() -> SocketAddr {
-    let types = warp::path!("machine_types").map(|| {
-        reply(200, json!({"formats": [{"name": "x", "vcpus": 8, "gpus": 0, "ramGb": 32, "localGb": 50,
-            "fetchGbPerS": 1.0, "price": 1.0, "marketPrice": 0.4, "bootS": 5, "rooms": ["valley-room"]}]}))
-    });
-    let rent = warp::path!("rentals")
-        .and(warp::post())
-        .map(|| reply(503, json!({"error": "no capacity"})));
-    let list = warp::path!("rentals")
-        .and(warp::get())
-        .map(|| reply(200, json!({"stacks": [], "truncated": false})));
-    let release =
-        warp::path!("rentals" / "release").and(warp::post()).map(|| reply(200, json!({})));
-    start(types.or(rent).or(list).or(release)).await
-}
-
-async fn start<F>(filter: F) -> SocketAddr
-where
-    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
-    F::Extract: warp::Reply,
-{
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    tokio::spawn(warp::serve(filter).incoming(listener).run());
-    addr
+    let (cloud, _rented) = Cloud::new(Clock::start(), &Deployment::new(1, 0), 1);
+    cloud.listen().await.unwrap()
 }
 
 /// Status, headers and body of one request.
@@ -196,7 +52,7 @@
     let mut leaves: Vec<Value> = Vec::new();
     loop {
         folio += 1;
-        let report = json!({"stack": "m-000001", "endpoint": "127.0.0.1:1", "format": "x", "room": "valley-room",
+        let report = json!({"stack": "m-000001", "endpoint": "127.0.0.1:1", "format": MACHINE_TYPE, "room": ZONES[0],
             "remainders": false, "tenure": 1, "folio": folio, "warrant": warrant, "recallS": null, "leaves": leaves});
         if let Some((200, _, body)) = call(node, "POST /checkin", &report.to_string()).await {
             warrant = warrant.max(body["warrant"].as_u64().unwrap());
@@ -223,10 +79,6 @@
     }
 }
 
-fn free_port() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn program() -> Command {
     Command::new(env!("CARGO_BIN_EXE_basaltrail"))
 }
@@ -251,9 +103,9 @@
 
 #[tokio::test]
 async fn one_node_serves_users_and_a_worker_over_a_restart() {
-    let state = serve_state(Shared::default()).await;
+    let state = serve_state().await;
     let cloud = serve_cloud().await;
-    let (node, peer) = (free_port(), free_port());
+    let (node, peer) = (free_port().unwrap(), free_port().unwrap());
     let text = include_str!("settings.toml")
         .replace("127.0.0.1:7100", &node.to_string())
         .replace("127.0.0.1:7200", &peer.to_string())
@@ -342,12 +194,12 @@
 
 #[tokio::test]
 async fn without_services_every_request_is_answered_at_once() {
-    let (node, peer) = (free_port(), free_port());
+    let (node, peer) = (free_port().unwrap(), free_port().unwrap());
     let text = include_str!("settings.toml")
         .replace("127.0.0.1:7100", &node.to_string())
         .replace("127.0.0.1:7200", &peer.to_string())
-        .replace("127.0.0.1:7300", &free_port().to_string())
-        .replace("127.0.0.1:7301", &free_port().to_string());
+        .replace("127.0.0.1:7300", &free_port().unwrap().to_string())
+        .replace("127.0.0.1:7301", &free_port().unwrap().to_string());
     let file = std::env::temp_dir().join(format!("basaltrail-alone-{}.toml", std::process::id()));
     std::fs::write(&file, text).unwrap();
     let _p = Process(program().arg("--config").arg(&file).stderr(Stdio::null()).spawn().unwrap());
