--- a/crates/basaltrail-core/tests/scale.rs
+++ b/crates/basaltrail-core/tests/scale.rs
@@ -1,4 +1,4 @@
-//! What a leader of 1,600 machines does, counted and not timed: machines and tasks looked
+//! What a leader of 1,600 and of 4,000 machines does, counted and not timed: machines and tasks looked
 //! at, allocations, calls of each service, bytes of each transaction. It begins with no
 //! machine, rents all of them, and is started anew with all of them up.
 
@@ -13,17 +13,54 @@
 #[global_allocator]
 static COUNTED: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
-const MACHINES: usize = 1_600;
-const REPORT: u64 = 4_000;
+/// A fleet, and the settings that its operators would give it.
+#[derive(Clone, Copy)]
+struct Scale {
+    machines: usize,
+    report_ms: u64,
+    lease_ms: u64,
+    cancel_ms: u64,
+    state_rps: f64,
+    write_rps: f64,
+    cloud_rps: f64,
+    memory_mb: f64,
+    /// Milliseconds between two submissions.
+    submit_ms: u64,
+}
+
+const SCALES: [Scale; 2] = [
+    Scale {
+        machines: 1_600,
+        report_ms: 4_000,
+        lease_ms: 22_000,
+        cancel_ms: 42_000,
+        state_rps: 500.0,
+        write_rps: 80.0,
+        cloud_rps: 8.0,
+        memory_mb: 188.0,
+        submit_ms: 700,
+    },
+    Scale {
+        machines: 4_000,
+        report_ms: 8_000,
+        lease_ms: 40_000,
+        cancel_ms: 60_000,
+        state_rps: 2_000.0,
+        write_rps: 320.0,
+        cloud_rps: 32.0,
+        memory_mb: 700.0,
+        submit_ms: 300,
+    },
+];
 const BOOT: u64 = 20_000;
 const DAY: u64 = 150_000;
 const RESTART: u64 = 100_000;
 
-fn settings(incarnation: u64) -> Settings {
+fn settings(scale: &Scale, incarnation: u64) -> Settings {
     let team = |i: usize| Team {
         name: format!("t{i}"),
-        cpus: 3_000.0,
-        cpus_max: 9_000.0,
+        cpus: scale.machines as f64 * 1.875,
+        cpus_max: scale.machines as f64 * 5.625,
         gpus: 0.0,
         gpus_max: 0.0,
     };
@@ -35,16 +72,16 @@
         peer_zones: vec!["a".into(); 4],
         teams: (0..4).map(team).collect(),
         objectives: vec![Objective::Finished { class: "c".into(), within_s: 120.0 }],
-        report_ms: REPORT,
-        lease_ms: 22_000,
-        cancel_ms: 42_000,
-        state_rps: 500.0,
-        write_rps: 80.0,
+        report_ms: scale.report_ms,
+        lease_ms: scale.lease_ms,
+        cancel_ms: scale.cancel_ms,
+        state_rps: scale.state_rps,
+        write_rps: scale.write_rps,
         value_bytes: 4_096,
         txn_ops: 12,
-        cloud_rps: 8.0,
+        cloud_rps: scale.cloud_rps,
         list_lag_ms: 5_000,
-        memory_mb: 188.0,
+        memory_mb: scale.memory_mb,
         machines_most: 5_000,
         incarnation,
         policy: Policy::default(),
@@ -74,6 +111,7 @@
 }
 
 struct World {
+    scale: Scale,
     t: u64,
     node: Node,
     rng: SmallRng,
@@ -112,12 +150,13 @@
     fn orders(&mut self, req: ReqId, answer: Answer) {
         let Some(m) = self.reporting.remove(&req) else { return };
         let t = self.t;
+        let report = self.scale.report_ms;
         let w = &mut self.workers[m];
         let Answer::Orders { token, orders } = answer else {
             w.next = t + 1_000;
             return;
         };
-        w.next = t + self.rng.random_range(REPORT * 3 / 4..REPORT * 5 / 4);
+        w.next = t + self.rng.random_range(report * 3 / 4..report * 5 / 4);
         if token > w.token || !orders.is_empty() {
             w.next = t + 500;
         }
@@ -247,7 +286,7 @@
             }]),
             CloudOp::Rent { count, .. } => {
                 let from = self.workers.len();
-                for _ in 0..(count as usize).min(MACHINES - from) {
+                for _ in 0..(count as usize).min(self.scale.machines - from) {
                     let up_at = self.t + BOOT * self.rng.random_range(6..15) / 10;
                     self.workers.push(Worker { up_at, next: up_at, ..Worker::default() });
                 }
@@ -345,7 +384,7 @@
                 self.watch();
                 self.feed(Input::Tick);
             }
-            if self.t.is_multiple_of(700) {
+            if self.t.is_multiple_of(self.scale.submit_ms) {
                 job += 1;
                 self.submit(job);
             }
@@ -374,9 +413,16 @@
 
 #[test]
 fn work_grows_with_the_fleet_and_not_with_its_reports() {
+    for scale in SCALES {
+        count_work(scale);
+    }
+}
+
+fn count_work(scale: Scale) {
     let mut w = World {
+        scale,
         t: 0,
-        node: Node::new(Arc::new(settings(1)), 1),
+        node: Node::new(Arc::new(settings(&scale, 1)), 1),
         rng: SmallRng::seed_from_u64(1),
         workers: Vec::new(),
         keys: BTreeMap::new(),
@@ -390,7 +436,7 @@
         count: Count::default(),
     };
     w.run(RESTART - 20_000);
-    assert_eq!(w.workers.len(), MACHINES, "not all were rented");
+    assert_eq!(w.workers.len(), scale.machines, "not all were rented");
     w.count = Count::default();
     let before = w.node.visited();
     let region = Region::new(COUNTED);
@@ -402,15 +448,16 @@
     assert!(count.reports > 5_000 && count.starts > 1_500, "too little to do: {count:?}");
     // A pass over all machines and tasks at set times, and one machine a report.
     let all: u64 = w.workers.iter().map(|w| 2 + w.tasks.len() as u64).sum();
-    let passes = 20_000 / (REPORT / 20) + 2;
+    let passes = 20_000 / (scale.report_ms / 20) + 2;
     assert!(visited <= all * passes * 3 / 2 + count.reports, "{visited} of {all} in {passes}");
     assert!(made / count.reports < 150, "{} allocations a report", made / count.reports);
-    assert!(count.state <= 20 * 500 && count.writes <= 20 * 80, "{count:?}");
-    assert!(count.cloud <= 20 * 8, "{count:?}");
+    assert!(count.state as f64 <= 20.0 * scale.state_rps, "{count:?}");
+    assert!(count.writes as f64 <= 20.0 * scale.write_rps, "{count:?}");
+    assert!(count.cloud as f64 <= 20.0 * scale.cloud_rps, "{count:?}");
     assert!(count.largest <= 64 * 1024, "{count:?}");
 
     // The process ends; the next one finds all machines up, and they all come at once.
-    w.node = Node::new(Arc::new(settings(2)), 2);
+    w.node = Node::new(Arc::new(settings(&scale, 2)), 2);
     w.due.clear();
     w.watches.clear();
     w.reporting.clear();
