The view of the jobs is a type of its own

Cause: eight fields of the node and three of its functions kept one thing together: how recent its knowledge of the jobs is. No change of behaviour.

--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -3,6 +3,7 @@
 use crate::budget::{Bucket, Class};
 use crate::election::Call;
 use crate::io::*;
+use crate::jobs_view::WatchKind;
 use crate::leadership::PendingWrite;
 use crate::model::*;
 use crate::requests::{Ask, Confirming, NewJob};
@@ -12,7 +13,7 @@
 pub enum Purpose {
     Election(Call),
     JobsList { after: Option<String>, sent: Ms },
-    JobsWatch { sent: Ms, catch_up: bool },
+    JobsWatch { sent: Ms, kind: WatchKind },
     Submit(Vec<NewJob>),
     Check(Vec<Confirming>),
     ReadActive { job: JobId, asks: Vec<Ask> },
--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod health;
 pub mod io;
 pub mod jobs;
+pub mod jobs_view;
 pub mod leadership;
 pub mod lease_renewal;
 pub mod model;
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -5,6 +5,7 @@
 use crate::election::Election;
 use crate::io::*;
 use crate::jobs::Table;
+use crate::jobs_view::{JobsView, ViewCall, WatchKind};
 use crate::leadership::{Context, Leadership};
 use crate::lease_renewal::AnswerCounters;
 use crate::model::*;
@@ -44,15 +45,7 @@
     types_not_before: Ms,
     types_stamp: u64,
     types_dirty: bool,
-    jobs_loaded: bool,
-    jobs_revision: Option<u64>,
-    jobs_in_flight: bool,
-    jobs_not_before: Ms,
-    jobs_list_revision: Option<u64>,
-    /// When the call was sent whose answer told of jobs last: what came before is known.
-    jobs_as_of: Option<Ms>,
-    catching_up: bool,
-    catch_up_not_before: Ms,
+    jobs_view: JobsView,
     /// Since when this node has had its right without a break.
     entitled_since: Option<Ms>,
     leadership: Option<Leadership>,
@@ -86,14 +79,7 @@
             types_not_before: 0,
             types_stamp: 0,
             types_dirty: false,
-            jobs_loaded: false,
-            jobs_revision: None,
-            jobs_in_flight: false,
-            jobs_not_before: 0,
-            jobs_list_revision: None,
-            jobs_as_of: None,
-            catching_up: false,
-            catch_up_not_before: 0,
+            jobs_view: JobsView::default(),
             entitled_since: None,
             leadership: None,
             state_ok: 0,
@@ -122,7 +108,7 @@
             true => self.cfg.leader_lease_ms(),
             false => self.cfg.lease_ms,
         };
-        self.jobs_loaded && !self.types.is_empty() && self.now <= self.state_ok + patience
+        self.jobs_view.is_loaded() && !self.types.is_empty() && self.now <= self.state_ok + patience
     }
 
     pub fn leading(&self) -> bool {
@@ -198,7 +184,7 @@
         let entitled = self.election.entitled(self.now);
         self.entitled_since = entitled.then(|| self.entitled_since.unwrap_or(self.now));
         self.follow_role();
-        self.jobs_view();
+        self.read_jobs();
         self.catch_up();
         self.types_view();
         self.flush_requests();
@@ -270,53 +256,48 @@
         }
     }
 
-    fn jobs_view(&mut self) {
-        if self.jobs_in_flight || self.now < self.jobs_not_before {
-            return;
-        }
+    /// Lists the jobs, or opens the watch again.
+    fn read_jobs(&mut self) {
+        let Some(call) = self.jobs_view.call_due(self.now) else { return };
         if !self.calls.pay(self.now, Class::Request) {
             return;
         }
-        self.jobs_in_flight = true;
-        let patience = self.cfg.leader_lease_ms() / 2;
-        match self.jobs_revision {
-            None => self.list_jobs(None, self.now),
-            Some(after) => {
+        self.jobs_view.sent(WatchKind::Waiting);
+        match call {
+            ViewCall::List => self.list_jobs(None, self.now),
+            ViewCall::Watch { after } => {
                 // Short enough that a watch that went dead costs little of `cancel_s`.
                 let wait_ms = self.cfg.watch_ms();
-                let op = StateOp::Watch { prefix: JOBS.into(), after, wait_ms };
-                let purpose = Purpose::JobsWatch { sent: self.now, catch_up: false };
-                self.calls.state(purpose, op, wait_ms + patience);
+                let patience = self.cfg.leader_lease_ms() / 2;
+                self.watch_jobs(WatchKind::Waiting, after, wait_ms, wait_ms + patience);
             }
         }
     }
 
+    fn watch_jobs(&mut self, kind: WatchKind, after: u64, wait_ms: Ms, timeout_ms: Ms) {
+        let op = StateOp::Watch { prefix: JOBS.into(), after, wait_ms };
+        self.calls.state(Purpose::JobsWatch { sent: self.now, kind }, op, timeout_ms);
+    }
+
     /// Whether what ended before our right began is known, and our knowledge no older than
     /// a watch that is answered leaves it. Users may have been told elsewhere that a job is
     /// cancelled while we stood still, were cut off or had no right: until we have read that,
     /// nothing is started.
     fn view_is_fresh(&self) -> bool {
-        let (Some(as_of), Some(since)) = (self.jobs_as_of, self.entitled_since) else {
-            return false;
-        };
         let late = self.cfg.watch_ms() + self.cfg.leader_lease_ms() / 2 + self.cfg.report_ms;
-        as_of >= since && self.now <= as_of + late
+        self.entitled_since.is_some_and(|since| self.jobs_view.is_fresh(since, self.now, late))
     }
 
     /// A watch that hangs, or was opened before our right began, is not waited for.
     fn catch_up(&mut self) {
-        let (Some(since), Some(after)) = (self.entitled_since, self.jobs_revision) else { return };
-        let due = self.cfg.watch_ms() + self.cfg.leader_lease_ms() / 4;
-        let known = |t| t >= since && self.now <= t + due;
-        let wait = self.catching_up || self.now < self.catch_up_not_before;
-        if wait || self.jobs_as_of.is_some_and(known) {
-            return;
+        let Some(since) = self.entitled_since else { return };
+        let patience = self.cfg.leader_lease_ms() / 4;
+        let due = self.cfg.watch_ms() + patience;
+        if let Some(after) = self.jobs_view.catch_up_due(since, self.now, due) {
+            self.jobs_view.sent(WatchKind::CatchUp);
+            self.calls.pay(self.now, Class::Lease);
+            self.watch_jobs(WatchKind::CatchUp, after, 0, patience);
         }
-        self.catching_up = true;
-        self.calls.pay(self.now, Class::Lease);
-        let op = StateOp::Watch { prefix: JOBS.into(), after, wait_ms: 0 };
-        let purpose = Purpose::JobsWatch { sent: self.now, catch_up: true };
-        self.calls.state(purpose, op, self.cfg.leader_lease_ms() / 4);
     }
 
     fn list_jobs(&mut self, after: Option<String>, sent: Ms) {
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -36,44 +36,7 @@
                 }
             }
             Purpose::JobsList { after, sent } => self.jobs_listed(after, sent, reply),
-            Purpose::JobsWatch { sent, catch_up } => {
-                let pause = match catch_up {
-                    true => &mut self.catch_up_not_before,
-                    false => &mut self.jobs_not_before,
-                };
-                // Changes come in crowds; one watch for each would cost too much.
-                *pause = self.now + self.cfg.report_ms / 10;
-                match catch_up {
-                    true => self.catching_up = false,
-                    false => self.jobs_in_flight = false,
-                }
-                match reply {
-                    StateReply::Events { revision, events } => {
-                        for e in &events {
-                            match e {
-                                Event::Put(item) => self.apply(item),
-                                Event::Remove { key, stamp } => {
-                                    if let Some(job) = key.strip_prefix(ACTIVE).and_then(parse_job)
-                                    {
-                                        self.table.remove_active(job, *stamp);
-                                    }
-                                }
-                            }
-                        }
-                        self.jobs_revision = self.jobs_revision.max(Some(revision));
-                        self.jobs_as_of = self.jobs_as_of.max(Some(sent));
-                        if self.verbose && (catch_up || !events.is_empty()) {
-                            let (news, took) = (events.len(), self.now - sent);
-                            let detail = format!(
-                                "revision={revision} news={news} catch_up={catch_up} took_ms={took}"
-                            );
-                            self.calls.log(Level::Debug, "jobs_read", detail);
-                        }
-                    }
-                    StateReply::Compacted => self.jobs_revision = None,
-                    _ => *pause = self.now + self.cfg.report_ms / 4,
-                }
-            }
+            Purpose::JobsWatch { sent, kind } => self.jobs_watched(kind, sent, reply),
             Purpose::Submit(batch) => self.submitted(batch, reply),
             Purpose::Check(jobs) => {
                 self.requests.checks_in_flight -= 1;
@@ -216,11 +179,46 @@
         self.busy(asks, 1, "no check possible");
     }
 
+    /// A watch of the jobs was answered, or is given up.
+    fn jobs_watched(&mut self, kind: WatchKind, sent: Ms, reply: StateReply) {
+        // Changes come in crowds; one watch for each would cost too much.
+        let soon = self.now + self.cfg.report_ms / 10;
+        let later = self.now + self.cfg.report_ms / 4;
+        match reply {
+            StateReply::Events { revision, events } => {
+                self.jobs_view.answered(kind, soon);
+                for event in &events {
+                    self.apply_event(event);
+                }
+                self.jobs_view.news(revision, sent);
+                if self.verbose && (kind == WatchKind::CatchUp || !events.is_empty()) {
+                    let (news, took) = (events.len(), self.now - sent);
+                    let detail = format!("revision={revision} news={news} {kind:?} took_ms={took}");
+                    self.calls.log(Level::Debug, "jobs_read", detail);
+                }
+            }
+            StateReply::Compacted => {
+                self.jobs_view.answered(kind, soon);
+                self.jobs_view.compacted();
+            }
+            _ => self.jobs_view.answered(kind, later),
+        }
+    }
+
+    fn apply_event(&mut self, event: &Event) {
+        match event {
+            Event::Put(item) => self.apply(item),
+            Event::Remove { key, stamp } => {
+                if let Some(job) = key.strip_prefix(ACTIVE).and_then(parse_job) {
+                    self.table.remove_active(job, *stamp);
+                }
+            }
+        }
+    }
+
     pub(super) fn jobs_listed(&mut self, after: Option<String>, sent: Ms, reply: StateReply) {
         let StateReply::Rows { items, more, revision } = reply else {
-            self.jobs_in_flight = false;
-            self.jobs_list_revision = None;
-            self.jobs_not_before = self.now + self.cfg.report_ms / 4;
+            self.jobs_view.list_failed(self.now + self.cfg.report_ms / 4);
             return;
         };
         for i in &items {
@@ -247,16 +245,12 @@
             self.table.remove_active(job, revision + 1);
         }
         // The watch starts where the first page was read.
-        let first = *self.jobs_list_revision.get_or_insert(revision);
+        let first = self.jobs_view.page(revision);
         if more {
             self.list_jobs(items.last().map(|i| i.key.clone()), sent);
             return;
         }
-        self.jobs_in_flight = false;
-        self.jobs_list_revision = None;
-        self.jobs_revision = Some(first);
-        self.jobs_as_of = self.jobs_as_of.max(Some(sent));
-        self.jobs_loaded = true;
+        self.jobs_view.listed(sent);
         let (active, took) = (self.table.active.len(), self.now - sent);
         let detail = format!("revision={first} active={active} took_ms={took}");
         self.calls.log(Level::Info, "jobs_listed", detail);
--- a/crates/basaltrail-core/src/node/tests.rs
+++ b/crates/basaltrail-core/src/node/tests.rs
@@ -6,7 +6,8 @@
 #[test]
 fn a_node_that_is_alone_without_the_state_service_is_not_ready() {
     let mut n = Node::new(Arc::new(settings()), 1);
-    n.jobs_loaded = true;
+    n.jobs_view.page(1);
+    n.jobs_view.listed(0);
     n.types = vec![a_type()];
     n.state_ok = 10_000;
     let mut ready_at = |now, leader_heard| {
--- a/crates/basaltrail-core/src/node/users.rs
+++ b/crates/basaltrail-core/src/node/users.rs
@@ -78,10 +78,10 @@
 
     pub(super) fn too_many(&mut self, req: ReqId) -> bool {
         let most = (self.cfg.memory_mb * WAITING_PER_MB).max(64.0) as usize;
-        if self.requests.waiting < most && self.jobs_loaded {
+        if self.requests.waiting < most && self.jobs_view.is_loaded() {
             return false;
         }
-        let why = if self.jobs_loaded { "too many requests" } else { "starting" };
+        let why = if self.jobs_view.is_loaded() { "too many requests" } else { "starting" };
         self.calls.answer(req, Answer::Busy { retry_s: 1, why });
         true
     }
--- a/crates/basaltrail-core/src/node/workers.rs
+++ b/crates/basaltrail-core/src/node/workers.rs
@@ -28,7 +28,7 @@
             now: self.now,
             // The right may have begun in this very step.
             entitled_since: entitled.then(|| self.entitled_since.unwrap_or(self.now)),
-            jobs_as_of: self.jobs_as_of,
+            jobs_as_of: self.jobs_view.as_of(),
         }
     }
 
@@ -93,12 +93,12 @@
         if self.answers == AnswerCounters::default() {
             return;
         }
-        let age = self.jobs_as_of.map_or("none".into(), |t| (self.now - t).to_string());
+        let age = self.jobs_view.as_of().map_or("none".into(), |t| (self.now - t).to_string());
         let token = self.election.lead().map_or(0, |lead| lead.token.0);
         let detail = format!(
             "token={token} entitled={} jobs_revision={} jobs_age_ms={age} {}",
             self.election.entitled(self.now),
-            self.jobs_revision.unwrap_or(0),
+            self.jobs_view.revision().unwrap_or(0),
             std::mem::take(&mut self.answers).detail()
         );
         self.calls.log(Level::Info, "worker_answers", detail);
