--- a/crates/basaltrail-testbed/src/controllers.rs
+++ b/crates/basaltrail-testbed/src/controllers.rs
@@ -100,31 +100,34 @@
         }
     }
 
-    /// Stops a controller in the middle of whatever it does.
+    /// Stops a controller in the middle of whatever it does; false if it does not run.
     ///
     /// # Errors
     ///
     /// If the signal cannot be sent.
-    pub async fn pause(&self, node: usize) -> Result<(), ControllerError> {
+    pub async fn pause(&self, node: usize) -> Result<bool, ControllerError> {
         self.signal(node, Signal::SIGSTOP).await
     }
 
-    /// Lets a paused controller go on.
+    /// Lets a paused controller go on; false if it does not run.
     ///
     /// # Errors
     ///
     /// If the signal cannot be sent.
-    pub async fn resume(&self, node: usize) -> Result<(), ControllerError> {
+    pub async fn resume(&self, node: usize) -> Result<bool, ControllerError> {
         self.signal(node, Signal::SIGCONT).await
     }
 
-    async fn signal(&self, node: usize, signal: Signal) -> Result<(), ControllerError> {
+    async fn signal(&self, node: usize, signal: Signal) -> Result<bool, ControllerError> {
         let process = self.processes[node].lock().await;
         let id = process.as_ref().and_then(Child::id).and_then(|id| i32::try_from(id).ok());
         // The lock keeps the child from being waited for, so the id is still its own.
         match id {
-            Some(id) => Ok(kill(Pid::from_raw(id), signal)?),
-            None => Ok(()),
+            Some(id) => {
+                kill(Pid::from_raw(id), signal)?;
+                Ok(true)
+            }
+            None => Ok(false),
         }
     }
 
--- a/crates/basaltrail-testbed/src/faults.rs
+++ b/crates/basaltrail-testbed/src/faults.rs
@@ -239,8 +239,10 @@
 
     async fn pause(self: &Arc<Self>, rng: &mut SmallRng, spell: Ms) -> Result<(), ControllerError> {
         let node = self.any_node(rng);
+        if !self.controllers.pause(node).await? {
+            return Ok(());
+        }
         self.note(format!("stack-{node} stands still for {spell} ms"));
-        self.controllers.pause(node).await?;
         self.later(spell, move |world| async move {
             let _ = world.controllers.resume(node).await;
         });
