--- a/tests/mixed-versions/tests/versions/mod.rs
+++ b/tests/mixed-versions/tests/versions/mod.rs
@@ -36,9 +36,9 @@
 
 /// A process of some version.
 pub enum Process {
-    E26460f(core_e26460f::Node),
-    V9b39f4b(core_9b39f4b::Node),
-    Current(Node),
+    E26460f(Box<core_e26460f::Node>),
+    V9b39f4b(Box<core_9b39f4b::Node>),
+    Current(Box<Node>),
 }
 
 impl Process {
@@ -46,13 +46,13 @@
         match version {
             Version::E26460f => {
                 let settings = convert::e26460f::settings(settings);
-                Process::E26460f(core_e26460f::Node::new(Arc::new(settings), seed))
+                Process::E26460f(Box::new(core_e26460f::Node::new(Arc::new(settings), seed)))
             }
             Version::V9b39f4b => {
                 let settings = convert::v9b39f4b::settings(settings);
-                Process::V9b39f4b(core_9b39f4b::Node::new(Arc::new(settings), seed))
+                Process::V9b39f4b(Box::new(core_9b39f4b::Node::new(Arc::new(settings), seed)))
             }
-            Version::Current => Process::Current(Node::new(Arc::new(settings), seed)),
+            Version::Current => Process::Current(Box::new(Node::new(Arc::new(settings), seed))),
         }
     }
 
