The change read once more: one way to lock, to count, to judge a job; less done twice

Cause: the right and the age of the view were judged twice for each report, jobs to be read by a second test beside JobKnowledge, refusals through a list of all of them, an answer's stops through two sets. In the testbed eleven places locked by hand, each answer of the state service locked twice, task names had a parser of their own beside names::task, KNOWN_MS stood twice, and StateService::keys was called by nobody.

Change: one piece for each. No check, bound or expectation is another one.

--- a/crates/basaltrail-core/src/lease_renewal.rs
+++ b/crates/basaltrail-core/src/lease_renewal.rs
@@ -12,7 +12,7 @@
 use crate::jobs::Table;
 use crate::model::*;
 use crate::settings::Settings;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Orders of one answer beside the stops that it needs, to stay under PROTOCOL's line limit.
 const ORDERS_MOST: usize = 200;
@@ -56,19 +56,6 @@
 }
 
 impl Refusal {
-    /// All of them, in the order in which they are counted.
-    pub const ALL: [Refusal; 9] = [
-        Refusal::NotEntitled,
-        Refusal::HigherToken,
-        Refusal::JobsNotRead,
-        Refusal::JobUnknown,
-        Refusal::TooManyStops,
-        Refusal::NoReportWithToken,
-        Refusal::MachineReturned,
-        Refusal::LateReport,
-        Refusal::Loading,
-    ];
-
     /// Its name in logs and in the body of the answer.
     pub fn name(self) -> &'static str {
         match self {
@@ -166,11 +153,10 @@
         Ok(Permit { stops })
     }
 
-    /// Jobs of the report's live tasks of which no record was read.
-    pub fn unread_jobs(&self, report: &Report) -> BTreeSet<JobId> {
-        let unread =
-            |job: &JobId| self.table.ended(*job).is_none() && !self.table.active.contains_key(job);
-        live_tasks(report).map(|task| task.task.job).filter(unread).collect()
+    /// Jobs of the report's live tasks of which nothing is known: they have to be read.
+    pub fn unknown_jobs(&self, report: &Report) -> BTreeSet<JobId> {
+        let unknown = |job: &JobId| self.of(*job) == JobKnowledge::Unknown;
+        live_tasks(report).map(|task| task.task.job).filter(unknown).collect()
     }
 
     /// The live tasks that an answer keeps on their machine without the knowledge that it
@@ -211,24 +197,15 @@
     /// The answer: the leader's own orders, [`Permit::room`] at most, and before them the stops
     /// that are not among these.
     pub fn answer(self, token: Token, orders: Vec<Order>) -> Answer {
-        let needed: BTreeSet<(TaskId, Attempt)> = self.stops.iter().copied().collect();
-        let mut said = BTreeSet::new();
-        let mut own = Vec::with_capacity(orders.len());
-        for order in orders {
-            if let Order::Stop { task, attempt, grace_s } = order {
-                if needed.contains(&(task, attempt)) {
-                    if grace_s > 0.0 {
-                        // It would let a task of an ended job save first.
-                        continue;
-                    }
-                    said.insert((task, attempt));
-                }
-            }
-            own.push(order);
-        }
-        let stop = |(task, attempt)| Order::Stop { task, attempt, grace_s: 0.0 };
-        let unsaid = self.stops.into_iter().filter(|stop| !said.contains(stop));
-        Answer::Orders { token, orders: unsaid.map(stop).chain(own).collect() }
+        let stop = |&(task, attempt)| Order::Stop { task, attempt, grace_s: 0.0 };
+        // With some grace it would let a task of an ended job save first.
+        let mild = |order: &&Order| {
+            matches!(order, Order::Stop { task, attempt, grace_s }
+                if *grace_s > 0.0 && self.stops.contains(&(*task, *attempt)))
+        };
+        let unsaid = self.stops.iter().map(stop).filter(|stop| !orders.contains(stop));
+        let own = orders.iter().filter(|order| !mild(order)).copied();
+        Answer::Orders { token, orders: unsaid.chain(own).collect() }
     }
 }
 
@@ -246,8 +223,8 @@
     pub starts: u64,
     pub stops: u64,
     pub forgets: u64,
-    /// Refusals, in the order of [`Refusal::ALL`].
-    pub refused: [u64; Refusal::ALL.len()],
+    /// Refusals by reason.
+    pub refused: BTreeMap<Refusal, u64>,
     /// Answers that kept a task without the knowledge that it takes: always 0.
     pub violations: u64,
 }
@@ -267,9 +244,7 @@
 
     /// Counts a refusal.
     pub fn count_refusal(&mut self, refusal: Refusal) {
-        if let Some(n) = Refusal::ALL.iter().position(|r| *r == refusal) {
-            self.refused[n] += 1;
-        }
+        *self.refused.entry(refusal).or_default() += 1;
     }
 
     /// All counts as `name=count`; refusals that did not occur are left out.
@@ -278,7 +253,7 @@
             "renewed={} starts={} stops={} forgets={} violations={}",
             self.renewed, self.starts, self.stops, self.forgets, self.violations
         );
-        for (refusal, count) in Refusal::ALL.iter().zip(self.refused).filter(|(_, n)| *n > 0) {
+        for (refusal, count) in &self.refused {
             text.push_str(&format!(" refused_{}={count}", refusal.name()));
         }
         text
--- a/crates/basaltrail-core/src/node/workers.rs
+++ b/crates/basaltrail-core/src/node/workers.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::lease_renewal::{Knowledge, Refusal};
+use std::collections::BTreeSet;
 
 impl Node {
     pub(super) fn checkin(&mut self, req: ReqId, report: &Report) {
@@ -34,14 +35,15 @@
 
     fn answer_worker(&mut self, report: &Report) -> Result<Answer, Refusal> {
         let knowledge = self.knowledge();
-        knowledge.may_renew()?;
         let permit = knowledge.permit(report);
-        let unread = match &permit {
-            Err(Refusal::JobUnknown) => knowledge.unread_jobs(report),
-            _ => Default::default(),
+        let unknown = match permit {
+            // Without the right or recent knowledge the report is not even taken.
+            Err(refusal @ (Refusal::NotEntitled | Refusal::JobsNotRead)) => return Err(refusal),
+            Err(_) => knowledge.unknown_jobs(report),
+            Ok(_) => BTreeSet::new(),
         };
         self.with_leadership(|leadership, ctx, calls, rng| {
-            for job in unread {
+            for job in unknown {
                 leadership.read_job(ctx, job);
             }
             leadership.checkin(ctx, calls, report, permit, rng)
--- a/crates/basaltrail-testbed/src/checker.rs
+++ b/crates/basaltrail-testbed/src/checker.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Once troubles are over, a job is spoken of within this (PROTOCOL's rule `forgotten`).
-const KNOWN_MS: Ms = 75_000;
+pub const KNOWN_MS: Ms = 75_000;
 
 /// A rule that was broken.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -101,7 +101,7 @@
     let jobs = gather(events);
     for (job, seen) in &jobs {
         let found = [
-            ran_twice(seen, bounds),
+            ran_twice(seen),
             ran_cancelled(seen, bounds),
             wrong_place(seen, &machines),
             not_done(seen),
@@ -194,28 +194,21 @@
     }
 }
 
-fn ran_twice(seen: &JobSeen, bounds: &Bounds) -> Vec<Breach> {
-    let mut last: BTreeMap<u32, &Stay> = BTreeMap::new();
+fn ran_twice(seen: &JobSeen) -> Vec<Breach> {
+    // Of each task, the stay that ends last; one without an end never does.
+    let mut latest: BTreeMap<u32, &Stay> = BTreeMap::new();
     let mut found = Vec::new();
     for stay in &seen.stays {
-        if let Some(before) = last.get(&stay.attempt.task) {
-            if stay.on < before.until(bounds.end.max(stay.on + 1)) {
-                found.push(Breach {
-                    machine: Some(stay.attempt.machine.clone()),
-                    ..breach(
-                        "ran_twice",
-                        stay.on,
-                        format!(
-                            "task {} starts on {} while it is on {}",
-                            stay.attempt.task, stay.attempt.machine, before.attempt.machine
-                        ),
-                    )
-                });
-            }
+        let task = stay.attempt.task;
+        let before = latest.get(&task).map_or(0, |before| before.until(Ms::MAX));
+        if let Some(other) = latest.get(&task).filter(|_| stay.on < before) {
+            let (here, there) = (&stay.attempt.machine, &other.attempt.machine);
+            let text = format!("task {task} starts on {here} while it is on {there}");
+            found
+                .push(Breach { machine: Some(here.clone()), ..breach("ran_twice", stay.on, text) });
         }
-        let longest = last.get(&stay.attempt.task).map_or(0, |before| before.until(bounds.end));
-        if stay.until(bounds.end) >= longest {
-            last.insert(stay.attempt.task, stay);
+        if stay.until(Ms::MAX) >= before {
+            latest.insert(task, stay);
         }
     }
     found
--- a/crates/basaltrail-testbed/src/cloud.rs
+++ b/crates/basaltrail-testbed/src/cloud.rs
@@ -4,12 +4,13 @@
 use crate::clock::{Clock, Ms};
 use crate::deployment::{Deployment, MACHINE_CPUS, MACHINE_MEMORY_GB, MACHINE_TYPE, ZONES};
 use crate::http::{reply, serve};
+use crate::lock;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::sync::mpsc;
 use warp::Filter;
 
@@ -123,7 +124,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Rentals> {
-        self.rentals.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.rentals)
     }
 
     fn answer(
--- a/crates/basaltrail-testbed/src/faults.rs
+++ b/crates/basaltrail-testbed/src/faults.rs
@@ -11,6 +11,7 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::Rng;
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -79,8 +80,8 @@
     kinds: Vec<FaultKind>,
     until: Ms,
     mut rng: SmallRng,
-) -> Vec<(FaultKind, ControllerError)> {
-    let mut not_run = Vec::new();
+) -> BTreeMap<FaultKind, String> {
+    let mut not_run = BTreeMap::new();
     while world.clock.now() < until {
         let pause = rng.random_range(300..3_000);
         world.clock.sleep_until((world.clock.now() + pause).min(until)).await;
@@ -89,7 +90,7 @@
             break;
         }
         if let Err(error) = world.carry_out(kind, &mut rng).await {
-            not_run.push((kind, error));
+            not_run.entry(kind).or_insert_with(|| error.to_string());
         }
     }
     not_run
--- a/crates/basaltrail-testbed/src/history.rs
+++ b/crates/basaltrail-testbed/src/history.rs
@@ -1,10 +1,11 @@
 //! What users and workers saw, in the order in which it happened, kept as JSON lines.
 
 use crate::clock::Ms;
+use crate::lock;
 use serde::{Deserialize, Serialize};
 use std::io::Write;
 use std::path::Path;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 /// What a user asked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -206,12 +207,12 @@
 impl History {
     /// Adds an event. Events may be added out of order.
     pub fn add(&self, at_ms: Ms, what: What) {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(Event { at_ms, what });
+        lock(&self.0).push(Event { at_ms, what });
     }
 
     /// Everything so far, by time.
     pub fn events(&self) -> Vec<Event> {
-        let mut events = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut events = lock(&self.0).clone();
         events.sort_by_key(|event| event.at_ms);
         events
     }
--- a/crates/basaltrail-testbed/src/lib.rs
+++ b/crates/basaltrail-testbed/src/lib.rs
@@ -16,3 +16,10 @@
 pub mod state;
 pub mod users;
 pub mod worker;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks what stand-ins share; what a task left that panicked is still of use.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/basaltrail-testbed/src/soak.rs
+++ b/crates/basaltrail-testbed/src/soak.rs
@@ -1,7 +1,7 @@
 //! A soak: controllers of the real program against all stand-ins, with faults at seeded random
 //! moments, and the verdict on what users and workers saw.
 
-use crate::checker::{account, judge, Bounds, Breach};
+use crate::checker::{account, judge, Bounds, Breach, KNOWN_MS};
 use crate::clock::{Clock, Ms};
 use crate::cloud::{Cloud, Machine};
 use crate::controllers::{ControllerError, Controllers};
@@ -15,7 +15,7 @@
 use crate::worker::{self, Fleet, JobDescriptions};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -25,8 +25,6 @@
 
 /// The part of a run in which faults come; the rest is for all to end.
 const FAULTS_PART: f64 = 0.65;
-/// Once faults are over, a job is spoken of within this: a run waits so long for it.
-const KNOWN_MS: Ms = 75_000;
 
 /// What to run.
 #[derive(Clone, Debug)]
@@ -62,7 +60,7 @@
     /// How each was broken: the events of its job and machine.
     pub accounts: Vec<Vec<String>>,
     /// Kinds of faults that could not be carried out here, and why.
-    pub not_run: Vec<(FaultKind, String)>,
+    pub not_run: BTreeMap<FaultKind, String>,
     /// Jobs, and how many of them were told to be over.
     pub jobs: usize,
     /// See `jobs`.
@@ -190,7 +188,7 @@
     world: &World,
     directory: PathBuf,
     faults_end: Ms,
-    not_run: Vec<(FaultKind, ControllerError)>,
+    not_run: BTreeMap<FaultKind, String>,
 ) -> Result<Outcome, SoakError> {
     let end = world.clock.now();
     world.fleet.over.store(true, Ordering::Relaxed);
@@ -208,16 +206,11 @@
     let breaches = judge(&events, &bounds);
     let accounts = breaches.iter().map(|breach| account(&events, breach)).collect();
     let seen = world.users.seen();
-    let kinds: BTreeSet<FaultKind> = not_run.iter().map(|(kind, _)| *kind).collect();
-    let why = |kind: FaultKind| {
-        let first = not_run.iter().find(|(other, _)| *other == kind);
-        first.map_or(String::new(), |(_, error)| error.to_string())
-    };
     let count = |is: fn(&What) -> bool| events.iter().filter(|event| is(&event.what)).count();
     Ok(Outcome {
         breaches,
         accounts,
-        not_run: kinds.into_iter().map(|kind| (kind, why(kind))).collect(),
+        not_run,
         jobs: seen.len(),
         over: seen.values().filter(|seen| seen.told == Told::Over).count(),
         tasks: count(|what| matches!(what, What::TaskOn(_))),
--- a/crates/basaltrail-testbed/src/state.rs
+++ b/crates/basaltrail-testbed/src/state.rs
@@ -3,12 +3,13 @@
 
 use crate::clock::{Clock, Ms};
 use crate::http::{reply, serve};
+use crate::lock;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use tokio::sync::watch;
 use warp::reply::Response;
@@ -200,7 +201,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Store> {
-        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.store)
     }
 
     /// Whether a request is served, and how late.
@@ -223,16 +224,19 @@
         serve: impl FnOnce(&mut Store) -> Status,
     ) -> Response {
         let (status, body) = match gate {
-            Ok(()) => serve(&mut self.lock()),
+            Ok(()) => self.change(serve),
             Err(refusal) => refusal,
         };
-        self.publish();
         reply(status, body)
     }
 
-    fn publish(&self) {
-        let revision = self.lock().revision;
+    /// Changes the store, and wakes the watches if its revision is another one then.
+    fn change<T>(&self, change: impl FnOnce(&mut Store) -> T) -> T {
+        let mut store = self.lock();
+        let outcome = change(&mut store);
+        let revision = store.revision;
         self.revision.send_if_modified(|seen| std::mem::replace(seen, revision) != revision);
+        outcome
     }
 
     async fn transaction(&self, gate: Result<(), Status>, body: Value) -> Response {
@@ -246,12 +250,10 @@
             tokio::spawn(async move {
                 tokio::time::sleep(Duration::from_millis(late_ms)).await;
                 let now = service.clock.now();
-                service.lock().transaction(now, &body);
-                service.publish();
+                service.change(|store| store.transaction(now, &body));
             });
         } else {
-            let (status, answer) = self.lock().transaction(now, &body);
-            self.publish();
+            let (status, answer) = self.change(|store| store.transaction(now, &body));
             if !lost {
                 return reply(status, answer);
             }
@@ -294,8 +296,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(20)).await;
             let now = self.clock.now();
-            self.lock().expire_loans(now);
-            self.publish();
+            self.change(|store| store.expire_loans(now));
         }
     }
 
@@ -323,13 +324,6 @@
     pub fn transactions(&self, fault: TransactionFault) {
         self.lock().fault = fault;
     }
-
-    /// Keys with a prefix, with their values.
-    pub fn keys(&self, prefix: &str) -> Vec<(String, Value)> {
-        let store = self.lock();
-        let found = store.keys.iter().filter(|(key, _)| key.starts_with(prefix));
-        found.map(|(key, kept)| (key.clone(), kept.value.clone())).collect()
-    }
 }
 
 impl Store {
--- a/crates/basaltrail-testbed/src/users.rs
+++ b/crates/basaltrail-testbed/src/users.rs
@@ -5,6 +5,7 @@
 use crate::deployment::{Deployment, ZONES};
 use crate::history::{Condition, History, JobShape, Question, What};
 use crate::http::{Answer, Client};
+use crate::lock;
 use crate::worker::{JobDescriptions, JobWork};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -13,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// How long users wait for an answer to a question, and to anything else.
@@ -73,7 +74,7 @@
 impl Users {
     /// What the users were told, by job.
     pub fn seen(&self) -> BTreeMap<u64, Seen> {
-        self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.seen).clone()
     }
 
     /// Jobs that are accepted and not over.
@@ -84,17 +85,17 @@
 
     /// Has users cancel their jobs, at once.
     pub fn call_off(&self, jobs: &[u64]) {
-        self.called_off.lock().unwrap_or_else(PoisonError::into_inner).extend(jobs);
+        lock(&self.called_off).extend(jobs);
     }
 
     fn is_called_off(&self, job: u64) -> bool {
-        let mut called_off = self.called_off.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut called_off = lock(&self.called_off);
         let found = called_off.iter().position(|other| *other == job);
         found.map(|at| called_off.swap_remove(at)).is_some()
     }
 
     fn note(&self, job: u64, at: Ms, told: Told) {
-        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut seen = lock(&self.seen);
         seen.insert(job, Seen { told, answered: at });
     }
 }
@@ -227,7 +228,7 @@
         while self.shared.clock.now() < until {
             let called_off = {
                 let jobs = &self.shared.called_off;
-                jobs.lock().unwrap_or_else(PoisonError::into_inner).contains(&self.job)
+                lock(jobs).contains(&self.job)
             };
             if (called_off && !cancels) || self.shared.over.load(Ordering::Relaxed) {
                 return;
--- a/crates/basaltrail-testbed/src/worker.rs
+++ b/crates/basaltrail-testbed/src/worker.rs
@@ -10,13 +10,15 @@
 use crate::deployment::{Deployment, MACHINE_CPUS, MACHINE_TYPE};
 use crate::history::{Attempt, History, JobShape, Off, What};
 use crate::http::{Answer, Client};
+use crate::lock;
+use basaltrail_protocol::names;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// How long a worker waits for an answer.
@@ -67,7 +69,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, DescribedJobs> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.0)
     }
 }
 
@@ -110,13 +112,13 @@
 
 impl Fleet {
     fn trouble(&self, machine: &str) -> MachineTrouble {
-        let troubles = self.troubles.lock().unwrap_or_else(PoisonError::into_inner);
+        let troubles = lock(&self.troubles);
         troubles.get(machine).copied().unwrap_or_default()
     }
 
     /// Changes the troubles of a machine.
     pub fn set_trouble(&self, machine: &str, change: impl FnOnce(&mut MachineTrouble)) {
-        let mut troubles = self.troubles.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut troubles = lock(&self.troubles);
         change(troubles.entry(machine.into()).or_default());
     }
 }
@@ -364,8 +366,8 @@
     }
 
     fn carry_out(&mut self, now: Ms, token: u64, node: usize, order: &Value) {
-        let Some((job, index)) = order["leaf"].as_str().and_then(parse_task) else { return };
-        let key = (job, index, order["printing"].as_u64().unwrap_or(0));
+        let Some(task) = order["leaf"].as_str().and_then(names::task) else { return };
+        let key = (task.job.0, task.index, order["printing"].as_u64().unwrap_or(0));
         let name = order["order"].as_str().unwrap_or("").to_string();
         let ordered =
             What::Ordered { attempt: self.attempt(key), order: name.clone(), token, node };
@@ -428,8 +430,3 @@
         }
     }
 }
-
-fn parse_task(leaf: &str) -> Option<(u64, u32)> {
-    let (job, index) = leaf.strip_prefix("job-")?.split_once('/')?;
-    Some((job.parse().ok()?, index.parse().ok()?))
-}
