Testbed: a deployment to try out; what bound below 4,000 machines is raised

Cause: a newcomer had no service to send the README's lines to, and the testbed stopped at 400 machines. Going through the bounds of core, program and testbed for a fleet of 4,000 showed three that bind or break below it: - peers told of the progress of the first 1,024 jobs only; the others showed as queued on the other nodes for as long as they ran, - news of the state service beyond 8 MB were taken for no answer, and asked for again for ever: now the jobs are listed anew, by pages, and the bound is a part of the node's memory, - names of returned machines were kept by memory alone, less than a fleet.

Change: `basaltrail-testbed serve`; the world of a run is a module of its own; times, rates, memory and sockets of a testbed deployment grow with the fleet; the number of machines is bounded by the sockets that the process may open.

A soak of 4,000 machines ended in a panic of the testbed's own load at first (an empty range of pauses beyond 580 machines), mended here.

--- a/crates/basaltrail-core/src/leadership/mod.rs
+++ b/crates/basaltrail-core/src/leadership/mod.rs
@@ -144,6 +144,12 @@
 /// to lose or none to win, youngest first.
 type Victim = (Priority, i64, Ms, MachineId, (TaskId, Attempt), Need);
 
+/// Names of returned machines that are kept: a whole fleet may go back and late copies of its
+/// reports follow.
+fn most_returned(settings: &Settings) -> usize {
+    settings.machines_most.max((settings.memory_mb * RETURNED_PER_MB) as usize)
+}
+
 /// The names seen last, up to a bound.
 struct Recent {
     order: VecDeque<MachineId>,
@@ -312,7 +318,7 @@
             reach: HashMap::new(),
             shapes: BTreeMap::new(),
             rental: Rental::default(),
-            returned: Recent::new((ctx.cfg.memory_mb * RETURNED_PER_MB) as usize),
+            returned: Recent::new(most_returned(ctx.cfg)),
             unknown: BTreeSet::new(),
             next_progress: 0,
         };
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -134,12 +134,7 @@
             Input::Peer { progress } => {
                 self.leader_heard = self.now;
                 if self.leadership.is_none() {
-                    let known = |p: &&Progress| self.table.active.contains_key(&p.job);
-                    self.requests.display = progress
-                        .iter()
-                        .filter(known)
-                        .map(|p| (p.job, (p.done, p.running)))
-                        .collect();
+                    self.requests.show(&self.table, &progress);
                 }
             }
         }
--- a/crates/basaltrail-core/src/requests.rs
+++ b/crates/basaltrail-core/src/requests.rs
@@ -124,6 +124,15 @@
         (jobs, conds)
     }
 
+    /// Takes what the leader tells of running tasks. Of many jobs it tells in several parts, so
+    /// what an earlier part told stays, as long as the job is active.
+    pub fn show(&mut self, table: &Table, progress: &[Progress]) {
+        let active = |job: &JobId| table.active.contains_key(job);
+        self.display.retain(|job, _| active(job));
+        let known = progress.iter().filter(|p| active(&p.job));
+        self.display.extend(known.map(|p| (p.job, (p.done, p.running))));
+    }
+
     /// What a user is told of a job whose entry has just been confirmed.
     pub fn view(&self, table: &Table, job: JobId) -> Option<Answer> {
         let told = |view, done, running| Some(Answer::State { job, view, done, running });
--- a/crates/basaltrail-core/src/requests_tests.rs
+++ b/crates/basaltrail-core/src/requests_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::settings::sample::a_job;
 
 /// Were the lowest ids checked first, a crowd of them would keep others waiting for
 /// as long as it asks.
@@ -18,3 +19,25 @@
     assert_eq!((jobs.len(), conds.len()), (4, 8));
     assert_eq!(requests.jobs_to_check(), 17);
 }
+
+/// The second part of a leader's progress replaced the first: its jobs showed as queued.
+#[test]
+fn progress_told_in_parts_is_shown_whole() {
+    let mut table = Table::new(10);
+    for job in [1, 2] {
+        let record = JobRecord { at: 0, spec: a_job(4, false) };
+        table.put_active(JobId(job), job, record);
+    }
+    let mut requests = RequestQueue::default();
+    let part = |job| [Progress { job: JobId(job), done: 1, running: 2 }];
+    requests.show(&table, &part(1));
+    requests.show(&table, &part(2));
+    requests.show(&table, &part(3));
+    let shown = |requests: &RequestQueue, job| requests.display.get(&JobId(job)).copied();
+    assert_eq!(shown(&requests, 1), Some((1, 2)));
+    assert_eq!(shown(&requests, 2), Some((1, 2)));
+    assert_eq!(shown(&requests, 3), None, "no such job");
+    table.put_final(JobId(1), Final::Done);
+    requests.show(&table, &part(2));
+    assert_eq!(shown(&requests, 1), None, "an ended job needs no display");
+}
--- a/crates/basaltrail-protocol/src/frames.rs
+++ b/crates/basaltrail-protocol/src/frames.rs
@@ -50,9 +50,16 @@
     Some(records.iter().map(progress).collect())
 }
 
-/// One frame; records beyond [`RECORDS_MOST`] are left out.
+/// As many frames as it takes, one after the other, with the lowest job numbers in the last one.
+/// A receiver that keeps one frame only, as earlier versions do, is left with those.
 pub fn write(progress: &[Progress]) -> Vec<u8> {
-    let progress = &progress[..progress.len().min(RECORDS_MOST)];
+    if progress.is_empty() {
+        return write_one(progress);
+    }
+    progress.chunks(RECORDS_MOST).rev().flat_map(write_one).collect()
+}
+
+fn write_one(progress: &[Progress]) -> Vec<u8> {
     let header = Header {
         magic: MAGIC,
         version: U16::new(VERSION),
--- a/crates/basaltrail-protocol/src/frames_tests.rs
+++ b/crates/basaltrail-protocol/src/frames_tests.rs
@@ -22,6 +22,29 @@
     assert_eq!(body_bytes(&long[..3]), None);
 }
 
+/// A leader of thousands of jobs tells of all of them: what did not fit into one frame was left
+/// out, and those jobs showed as queued on the other nodes for as long as they ran.
+#[test]
+fn what_does_not_fit_into_one_frame_goes_into_further_ones() {
+    let count = RECORDS_MOST * 2 + 7;
+    let progress: Vec<Progress> =
+        (0..count as u64).map(|job| Progress { job: JobId(job), done: 0, running: 1 }).collect();
+    let bytes = write(&progress);
+    let mut rest = bytes.as_slice();
+    let mut told = Vec::new();
+    while !rest.is_empty() {
+        let (header, after) = rest.split_at(HEADER_BYTES);
+        let (body, after) = after.split_at(body_bytes(header).unwrap());
+        told.push(read(body).unwrap());
+        rest = after;
+    }
+    assert_eq!(told.len(), 3);
+    assert_eq!(told[2][0].job, JobId(0), "earlier versions keep the last frame");
+    let mut all: Vec<Progress> = told.concat();
+    all.sort_by_key(|p| p.job);
+    assert_eq!(all, progress);
+}
+
 /// The bytes of a frame as every version since e26460f has written and read them: a frame of
 /// another layout ends the connection to a node that has not been upgraded yet.
 #[test]
--- a/crates/basaltrail-testbed/src/cloud.rs
+++ b/crates/basaltrail-testbed/src/cloud.rs
@@ -19,6 +19,8 @@
 /// Names in one rental, and in one release.
 const RENT_MOST: u64 = 50;
 const RELEASE_MOST: usize = 100;
+/// Names of machines begin so; their number follows.
+const MACHINE_PREFIX: &str = "m-";
 /// Machines in one page of the list.
 const PAGE_MOST: usize = 500;
 
@@ -154,14 +156,15 @@
 
     /// When a machine stopped, if it did.
     pub fn gone(&self, name: &str) -> Option<Ms> {
-        self.lock().machines.iter().find(|machine| machine.name == name)?.gone()
+        let rentals = self.lock();
+        rentals.machines.get(index(name)?)?.gone()
     }
 
     /// A machine stops by itself.
     pub fn stop(&self, name: &str) {
         let now = self.clock.now();
         let mut rentals = self.lock();
-        let found = rentals.machines.iter_mut().find(|machine| machine.name == name);
+        let found = index(name).and_then(|index| rentals.machines.get_mut(index));
         if let Some(machine) = found.filter(|machine| machine.gone().is_none()) {
             machine.died = Some(now);
         }
@@ -191,7 +194,7 @@
         let mut names = Vec::new();
         for _ in 0..number {
             let machine = Machine {
-                name: format!("m-{:06}", rentals.machines.len()),
+                name: name(rentals.machines.len()),
                 zone,
                 spot,
                 up_at: now + rentals.rng.random_range(200..2_500),
@@ -215,9 +218,10 @@
             return (400, json!({"error": "too many"}));
         }
         let now = self.clock.now();
-        let named = |machine: &Machine| names.iter().any(|name| *name == *machine.name);
-        for machine in rentals.machines.iter_mut().filter(|machine| named(machine)) {
-            machine.released.get_or_insert(now);
+        for at in names.iter().filter_map(|name| index(name.as_str()?)) {
+            if let Some(machine) = rentals.machines.get_mut(at) {
+                machine.released.get_or_insert(now);
+            }
         }
         (200, json!({}))
     }
@@ -249,6 +253,15 @@
     }
 }
 
+/// The name of a machine, by the order of rental.
+fn name(index: usize) -> String {
+    format!("{MACHINE_PREFIX}{index:06}")
+}
+
+fn index(name: &str) -> Option<usize> {
+    name.strip_prefix(MACHINE_PREFIX)?.parse().ok()
+}
+
 fn types() -> Value {
     json!({"formats": [{"name": MACHINE_TYPE, "vcpus": MACHINE_CPUS, "gpus": 0.0,
         "ramGb": MACHINE_MEMORY_GB, "localGb": 50.0, "fetchGbPerS": 1.0, "price": 1.0,
--- a/crates/basaltrail-testbed/src/controllers.rs
+++ b/crates/basaltrail-testbed/src/controllers.rs
@@ -5,6 +5,7 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use std::fs::OpenOptions;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use tokio::process::{Child, Command};
@@ -31,6 +32,7 @@
 pub struct Controllers {
     program: PathBuf,
     directory: PathBuf,
+    addresses: Vec<Addresses>,
     processes: Vec<Mutex<Option<Child>>>,
 }
 
@@ -44,18 +46,38 @@
         program: &Path,
         directory: &Path,
         deployment: &Deployment,
-        addresses: &[Addresses],
+        addresses: Vec<Addresses>,
     ) -> Result<Self, ControllerError> {
-        for (node, at) in addresses.iter().enumerate() {
-            let path = directory.join(format!("stack-{node}.toml"));
-            let settings = deployment.settings(node, at)?;
-            std::fs::write(&path, settings).map_err(|error| ControllerError::File(path, error))?;
-        }
-        Ok(Controllers {
+        let controllers = Controllers {
             program: program.into(),
             directory: directory.into(),
             processes: addresses.iter().map(|_| Mutex::new(None)).collect(),
-        })
+            addresses,
+        };
+        for node in 0..controllers.count() {
+            controllers.write_settings(node, deployment)?;
+        }
+        Ok(controllers)
+    }
+
+    /// Writes the settings of one controller; its next start reads them.
+    ///
+    /// # Errors
+    ///
+    /// If the file cannot be written.
+    pub fn write_settings(
+        &self,
+        node: usize,
+        deployment: &Deployment,
+    ) -> Result<(), ControllerError> {
+        let path = self.directory.join(format!("stack-{node}.toml"));
+        let settings = deployment.settings(node, &self.addresses[node])?;
+        std::fs::write(&path, settings).map_err(|error| ControllerError::File(path, error))
+    }
+
+    /// Where a controller listens for users and workers.
+    pub fn listen(&self, node: usize) -> SocketAddr {
+        self.addresses[node].listen
     }
 
     /// How many there are.
--- a/crates/basaltrail-testbed/src/deployment.rs
+++ b/crates/basaltrail-testbed/src/deployment.rs
@@ -25,6 +25,20 @@
     pub cpus_max: f64,
 }
 
+/// Reports a second that all stand-ins of workers send at the most: what one machine carries
+/// beside the controllers. Larger fleets report less often, and all times grow with it.
+const REPORTS_PER_S: usize = 1_000;
+/// Times of a deployment, as ratios to the time between two reports.
+const LEASE_REPORTS: Ms = 6;
+const CANCEL_REPORTS: Ms = 14;
+/// What a machine takes of the state service, the cloud and a controller, in fleets so large that
+/// this is more than the least.
+const STATE_RPS_PER_MACHINE: f64 = 0.5;
+const WRITE_RPS_PER_MACHINE: f64 = 0.08;
+const CLOUD_RPS_PER_MACHINE: f64 = 0.008;
+const MEMORY_MB_PER_MACHINE: f64 = 0.175;
+const CONNECTIONS_PER_MACHINE: usize = 3;
+
 /// What a deployment goes by. Shorter than in production, so that much happens in a minute;
 /// the times that PROTOCOL fixes for workers stay as they are.
 #[derive(Clone, Debug)]
@@ -51,6 +65,10 @@
     pub value_kb: f64,
     /// Requests a second of the cloud.
     pub cloud_rps: f64,
+    /// Memory of each controller.
+    pub memory_mb: f64,
+    /// Sockets of each controller.
+    pub max_connections: usize,
     /// The teams.
     pub teams: Vec<Team>,
 }
@@ -64,18 +82,22 @@
             cpus: (cpus * guaranteed).floor(),
             cpus_max: (cpus * most).floor(),
         };
+        let report_ms = (machines * 1_000 / REPORTS_PER_S).max(1_000) as Ms;
+        let per_machine = |least: f64, each: f64| least.max(machines as f64 * each);
         Deployment {
             nodes,
             machines,
-            report_ms: 1_000,
-            lease_ms: 6_000,
-            cancel_ms: 14_000,
+            report_ms,
+            lease_ms: report_ms * LEASE_REPORTS,
+            cancel_ms: report_ms * CANCEL_REPORTS,
             list_lag_ms: 1_000,
-            state_rps: 400.0,
-            write_rps: 160.0,
+            state_rps: per_machine(400.0, STATE_RPS_PER_MACHINE),
+            write_rps: per_machine(160.0, WRITE_RPS_PER_MACHINE),
             txn_ops: 12,
             value_kb: 4.0,
-            cloud_rps: 20.0,
+            cloud_rps: per_machine(20.0, CLOUD_RPS_PER_MACHINE),
+            memory_mb: per_machine(128.0, MEMORY_MB_PER_MACHINE),
+            max_connections: (machines * CONNECTIONS_PER_MACHINE).max(2_000),
             teams: vec![
                 team("imports", 0.3, 0.6),
                 team("reports", 0.2, 0.5),
@@ -84,6 +106,11 @@
         }
     }
 
+    /// CPUs of all machines.
+    pub fn cpus(&self) -> f64 {
+        self.machines as f64 * MACHINE_CPUS
+    }
+
     /// The name of a controller.
     pub fn node_name(node: usize) -> String {
         format!("stack-{node}")
@@ -135,7 +162,11 @@
                     txn_ops: self.txn_ops,
                 },
                 cloud: Cloud { rps: self.cloud_rps, list_lag_s: seconds(self.list_lag_ms) },
-                resources: Resources { cpu: 1.0, mem_mb: 128.0, max_connections: 2_000 },
+                resources: Resources {
+                    cpu: 1.0,
+                    mem_mb: self.memory_mb,
+                    max_connections: self.max_connections,
+                },
                 teams: teams.collect(),
                 objectives: vec![Objective {
                     kind: "finished",
--- a/crates/basaltrail-testbed/src/history.rs
+++ b/crates/basaltrail-testbed/src/history.rs
@@ -67,6 +67,9 @@
 pub struct JobShape {
     /// Its team.
     pub team: String,
+    /// Its class.
+    #[serde(default)]
+    pub class: String,
     /// How many tasks it has.
     pub tasks: u32,
     /// CPUs of each.
--- a/crates/basaltrail-testbed/src/lib.rs
+++ b/crates/basaltrail-testbed/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod history;
 pub mod http;
 pub mod proxy;
+pub mod serve;
 pub mod soak;
 pub mod state;
 pub mod users;
 pub mod worker;
+pub mod world;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
--- a/crates/basaltrail-testbed/src/main.rs
+++ b/crates/basaltrail-testbed/src/main.rs
@@ -1,14 +1,19 @@
-//! basaltrail-testbed: soaks of the real program over loopback.
+//! basaltrail-testbed: the real program over loopback, tried out or soaked.
 
 use basaltrail_testbed::deployment::Deployment;
 use basaltrail_testbed::faults::FaultKind;
-use basaltrail_testbed::soak::{run, Outcome, Plan, World};
+use basaltrail_testbed::serve;
+use basaltrail_testbed::soak::{run, Outcome, Plan};
+use basaltrail_testbed::world::World;
 use clap::{Args, Parser, Subcommand};
 use indicatif::ProgressBar;
+use nix::sys::resource::{getrlimit, Resource};
 use std::ops::Range;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
 
 /// A rule was broken.
 const BROKEN: u8 = 1;
@@ -16,8 +21,14 @@
 const USAGE: u8 = 2;
 /// No rule was broken, but a fault that was asked for could not be carried out.
 const NOT_RUN: u8 = 3;
-/// Machines and controllers of one run at the most: each takes sockets and processor time.
-const MACHINES_MOST: u64 = 400;
+/// Machines of one run at the most: a system gives out some 28,000 ports for the connections to
+/// one address. What this process may open decides before that, see [`sockets_allow`].
+const MACHINES_MOST: u64 = 20_000;
+/// Sockets of this process that a machine takes: its worker's, both of its link's, and one more
+/// while it changes the controller. Users, links and controllers take the rest.
+const SOCKETS_PER_MACHINE: u64 = 4;
+const SOCKETS_OF_THE_REST: u64 = 2_000;
+/// Controllers of one run at the most.
 const NODES_MOST: u64 = 9;
 /// Lines of one account that are printed; all of it is in the history.
 const ACCOUNT_LINES: usize = 60;
@@ -34,6 +45,30 @@
 enum Command {
     /// Runs with faults at seeded random moments; status 1 if a rule is broken
     Soak(Soak),
+    /// A deployment to try out, until Ctrl-C
+    Serve(Serve),
+}
+
+#[derive(Args)]
+struct Serve {
+    /// Minutes until it ends by itself
+    #[arg(long, value_name = "M", value_parser = minutes)]
+    minutes: Option<f64>,
+    /// Machines that the cloud can rent
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u64).range(4..=MACHINES_MOST))]
+    machines: u64,
+    /// Controllers
+    #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=NODES_MOST))]
+    nodes: u64,
+    /// Port of the first controller; the others follow it
+    #[arg(long, default_value_t = 7100, value_parser = clap::value_parser!(u16).range(1..))]
+    port: u16,
+    /// Where settings and logs go
+    #[arg(long, default_value = "target/serve")]
+    dir: PathBuf,
+    /// The controllers' program; the one beside this program if it is not named
+    #[arg(long)]
+    controller: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -97,15 +132,17 @@
             return ExitCode::SUCCESS;
         }
     };
-    let Command::Soak(soak) = arguments.command;
     let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => return unusable(&error.to_string()),
     };
-    match plan(&soak) {
-        Ok(plan) => runtime.block_on(play(&soak, &plan)),
-        Err(why) => unusable(&why),
-    }
+    let done = match arguments.command {
+        Command::Soak(soak) => plan(&soak).map(|plan| runtime.block_on(play(&soak, &plan))),
+        Command::Serve(arguments) => {
+            serve_plan(&arguments).and_then(|plan| runtime.block_on(serve(&arguments, &plan)))
+        }
+    };
+    done.unwrap_or_else(|why| unusable(&why))
 }
 
 fn unusable(why: &str) -> ExitCode {
@@ -113,16 +150,84 @@
     ExitCode::from(USAGE)
 }
 
-fn plan(soak: &Soak) -> Result<Plan, String> {
+/// The controllers' program: the one that is named, or the one beside this program.
+fn program(named: &Option<PathBuf>) -> Result<PathBuf, String> {
     let beside = || {
         let own = std::env::current_exe().ok()?;
         Some(own.parent()?.join("basaltrail"))
     };
-    let program = soak.controller.clone().or_else(beside).ok_or("no program for controllers")?;
-    if !program.is_file() {
-        return Err(format!("{}: not there; build basaltrail first", program.display()));
+    let program = named.clone().or_else(beside).ok_or("no program for controllers")?;
+    match program.is_file() {
+        true => Ok(program),
+        false => Err(format!("{}: not there; build basaltrail first", program.display())),
     }
-    std::fs::create_dir_all(&soak.dir).map_err(|e| format!("{}: {e}", soak.dir.display()))?;
+}
+
+/// Whether this process may open the sockets that so many machines take, of all runs at once.
+fn sockets_allow(machines: u64) -> Result<(), String> {
+    let (allowed, _) = getrlimit(Resource::RLIMIT_NOFILE).map_err(|e| e.to_string())?;
+    let needed = machines * SOCKETS_PER_MACHINE + SOCKETS_OF_THE_REST;
+    match needed <= allowed {
+        true => Ok(()),
+        false => Err(format!("{machines} machines take {needed} sockets, {allowed} are allowed")),
+    }
+}
+
+fn make_directory(directory: &Path) -> Result<(), String> {
+    std::fs::create_dir_all(directory).map_err(|e| format!("{}: {e}", directory.display()))
+}
+
+fn serve_plan(arguments: &Serve) -> Result<serve::Plan, String> {
+    let program = program(&arguments.controller)?;
+    sockets_allow(arguments.machines)?;
+    make_directory(&arguments.dir)?;
+    Ok(serve::Plan {
+        program,
+        nodes: arguments.nodes as usize,
+        machines: arguments.machines as usize,
+        first_port: arguments.port,
+        directory: arguments.dir.clone(),
+        seed: 1,
+    })
+}
+
+async fn serve(arguments: &Serve, plan: &serve::Plan) -> Result<ExitCode, String> {
+    let mut terminated = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let starting = async { serve::start(plan).await.map_err(|e| e.to_string()) };
+    let world = tokio::select! {
+        world = starting => world?,
+        // The controllers end with the world that is dropped.
+        _ = tokio::signal::ctrl_c() => return Ok(ExitCode::SUCCESS),
+        _ = terminated.recv() => return Ok(ExitCode::SUCCESS),
+    };
+    for node in 0..world.controllers.count() {
+        println!("{}  http://{}", Deployment::node_name(node), world.controllers.listen(node));
+    }
+    for team in &world.deployment.teams {
+        println!("team {}: {} CPUs guaranteed, {} at most", team.name, team.cpus, team.cpus_max);
+    }
+    println!("ready, logs in {}; Ctrl-C ends it", arguments.dir.display());
+    let minutes = arguments.minutes.map(|minutes| Duration::from_secs_f64(minutes * 60.0));
+    let time_is_over = async {
+        match minutes {
+            Some(minutes) => tokio::time::sleep(minutes).await,
+            None => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminated.recv() => {}
+        () = time_is_over => {}
+    }
+    world.end().await;
+    println!("ended");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn plan(soak: &Soak) -> Result<Plan, String> {
+    let program = program(&soak.controller)?;
+    sockets_allow(soak.machines * soak.parallel)?;
+    make_directory(&soak.dir)?;
     let faults = match soak.fault.is_empty() {
         true => FaultKind::all(),
         false => soak.fault.clone(),
--- a/crates/basaltrail-testbed/src/state.rs
+++ b/crates/basaltrail-testbed/src/state.rs
@@ -300,6 +300,11 @@
         }
     }
 
+    /// The present value of a key, whoever asks.
+    pub fn value(&self, key: &str) -> Option<Value> {
+        self.lock().keys.get(key).map(|kept| kept.value.clone())
+    }
+
     /// The service is out for all; afterwards each loan has its full time again.
     pub fn outage(&self, for_ms: Ms) {
         let now = self.clock.now();
--- a/crates/basaltrail-testbed/src/users.rs
+++ b/crates/basaltrail-testbed/src/users.rs
@@ -26,6 +26,11 @@
 const SUBMIT_MS: Ms = 60_000;
 /// The longest `Retry-After` that a user follows.
 const RETRY_MOST_S: u64 = 30;
+/// Submissions come no sooner after each other than about this, in large fleets.
+const SHORTEST_PAUSE_MS: Ms = 100;
+/// Tasks of an array at the most, in fleets of up to so many machines.
+const ARRAY_TASKS: u32 = 12;
+const MACHINES_OF_SMALL_JOBS: usize = 300;
 /// The first number of jobs that nobody submits.
 const STRANGERS: u64 = 900_000;
 
@@ -63,6 +68,8 @@
     pub jobs: JobDescriptions,
     /// Where users reach each controller.
     pub nodes: Vec<SocketAddr>,
+    /// Clients that the users share, each with connections of its own.
+    pub clients: Vec<Client>,
     /// What each user was told, by job.
     pub seen: Mutex<BTreeMap<u64, Seen>>,
     /// Jobs whose users are to cancel now.
@@ -88,6 +95,11 @@
         lock(&self.called_off).extend(jobs);
     }
 
+    fn client_of(&self, job: u64) -> Client {
+        let shared = self.clients.get(job as usize % self.clients.len().max(1));
+        shared.cloned().unwrap_or_default()
+    }
+
     fn is_called_off(&self, job: u64) -> bool {
         let mut called_off = lock(&self.called_off);
         let found = called_off.iter().position(|other| *other == job);
@@ -120,15 +132,14 @@
         let user = User {
             shared: users.clone(),
             rng: SmallRng::seed_from_u64(rng.random()),
-            client: Client::default(),
+            client: users.client_of(job),
             job,
             body,
         };
         tokio::spawn(user.run(work));
         job += 1;
         if job > 1_000 + at_once as u64 {
-            let pause = rng.random_range(100..60_000 / (users.deployment.machines as Ms + 20));
-            tokio::time::sleep(Duration::from_millis(pause)).await;
+            tokio::time::sleep(pause_between_jobs(&mut rng, users.deployment.machines)).await;
         }
     }
 }
@@ -150,12 +161,33 @@
     }
 }
 
+/// The time to the next submission: the more machines, the sooner, but no sooner than a state
+/// service can write; larger fleets get larger jobs.
+fn pause_between_jobs(rng: &mut SmallRng, machines: usize) -> Duration {
+    let longest_ms = 60_000 / (machines as Ms + 20);
+    let pause_ms = match longest_ms > SHORTEST_PAUSE_MS {
+        true => rng.random_range(SHORTEST_PAUSE_MS..longest_ms),
+        false => rng.random_range(SHORTEST_PAUSE_MS / 2..=SHORTEST_PAUSE_MS),
+    };
+    Duration::from_millis(pause_ms)
+}
+
+/// Tasks of an array at the most.
+fn most_tasks(machines: usize) -> u32 {
+    ARRAY_TASKS * (machines / MACHINES_OF_SMALL_JOBS).max(1) as u32
+}
+
 fn draw_job(rng: &mut SmallRng, deployment: &Deployment, job: u64) -> (Value, JobWork) {
     let team = deployment.teams[rng.random_range(0..deployment.teams.len())].name;
     let service = rng.random_bool(0.06);
     let shape = JobShape {
         team: team.into(),
-        tasks: if service { rng.random_range(1..4) } else { rng.random_range(1..13) },
+        class: if service { "service" } else { "array" }.into(),
+        tasks: if service {
+            rng.random_range(1..4)
+        } else {
+            rng.random_range(1..=most_tasks(deployment.machines))
+        },
         cpus: if service { 1.0 } else { [1.0, 2.0, 4.0][rng.random_range(0..3)] },
         spot: rng.random_bool(0.7),
         zone: rng.random_bool(0.1).then(|| ZONES[rng.random_range(0..ZONES.len())].into()),
@@ -167,7 +199,7 @@
         false => rng.random_range(500..4_000),
     };
     let body = json!({"nameId": format!("job-{job:06}"),
-        "shelf": if service { "service" } else { "array" },
+        "shelf": shape.class,
         "desk": shape.team, "binding": if service { "daemon" } else { "array" },
         "precedence": if service { "critical" } else { "standard" }, "leaves": shape.tasks,
         "vcpus": shape.cpus, "gpus": 0.0, "ramGb": 1.0, "edition": format!("img-{}", job % 3),
--- a/crates/basaltrail-testbed/src/worker.rs
+++ b/crates/basaltrail-testbed/src/worker.rs
@@ -11,6 +11,9 @@
 use crate::history::{Attempt, History, JobShape, Off, What};
 use crate::http::{Answer, Client};
 use crate::lock;
+use crate::state::StateService;
+use basaltrail_core::records::{active_key, JobRecord};
+use basaltrail_core::JobId;
 use basaltrail_protocol::names;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -39,9 +42,13 @@
     pub run_ms: Ms,
 }
 
-/// All jobs that were submitted, and the tasks of each that are done.
-#[derive(Clone, Default)]
-pub struct JobDescriptions(Arc<Mutex<DescribedJobs>>);
+/// All jobs that were submitted, and the tasks of each that are done. What nobody uploaded, since
+/// it was submitted by hand, is read from the controllers' record of the job.
+#[derive(Clone)]
+pub struct JobDescriptions {
+    jobs: Arc<Mutex<DescribedJobs>>,
+    state: StateService,
+}
 
 #[derive(Default)]
 struct DescribedJobs {
@@ -50,6 +57,11 @@
 }
 
 impl JobDescriptions {
+    /// No jobs yet; records are looked up in a state service.
+    pub fn new(state: StateService) -> Self {
+        JobDescriptions { jobs: Arc::default(), state }
+    }
+
     /// A user uploads a job.
     pub fn upload(&self, job: u64, work: JobWork) {
         self.lock().work.insert(job, work);
@@ -57,7 +69,27 @@
 
     /// What a job asks for.
     pub fn find(&self, job: u64) -> Option<JobWork> {
-        self.lock().work.get(&job).cloned()
+        let uploaded = self.lock().work.get(&job).cloned();
+        uploaded.or_else(|| {
+            let work = self.recorded(job)?;
+            self.upload(job, work.clone());
+            Some(work)
+        })
+    }
+
+    fn recorded(&self, job: u64) -> Option<JobWork> {
+        let record = self.state.value(&active_key(JobId(job)))?;
+        let JobRecord { spec, .. } = serde_json::from_value(record).ok()?;
+        let shape = JobShape {
+            team: spec.team.clone(),
+            class: spec.class.clone(),
+            tasks: spec.tasks,
+            cpus: spec.cpus,
+            spot: spec.spot,
+            zone: spec.zone.clone(),
+            service: spec.is_service(),
+        };
+        Some(JobWork { shape, run_ms: (spec.estimate_s * 1000.0) as Ms })
     }
 
     fn is_done(&self, job: u64, task: u32) -> bool {
@@ -69,7 +101,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, DescribedJobs> {
-        lock(&self.0)
+        lock(&self.jobs)
     }
 }
 
@@ -171,7 +203,7 @@
     let machine_up = What::MachineUp { machine: name.clone(), zone: zone.into(), spot };
     fleet.history.add(up, machine_up);
     let addresses = fleet.nodes[zone].clone();
-    let client = Client::default();
+    let mut client = Client::default();
     let mut worker = Worker {
         machine,
         fleet: fleet.clone(),
@@ -186,6 +218,8 @@
     };
     let mut node = worker.rng.random_range(0..addresses.len());
     let mut next = up;
+    // Machines by the thousand would keep this process busy with waking up alone.
+    let look_ms = fleet.deployment.report_ms / 20;
     let mut last = 0;
     while !fleet.over.load(Ordering::Relaxed) {
         let now = clock.now();
@@ -198,7 +232,7 @@
         let trouble = fleet.trouble(&name);
         let due = if worker.changed { next.min(last + CHANGE_MS) } else { next };
         if now < trouble.hangs_until || now < due {
-            let wake = due.max(trouble.hangs_until).min(now + 50).max(now + 5);
+            let wake = due.max(trouble.hangs_until).min(now + look_ms).max(now + 5);
             clock.sleep_until(wake).await;
             continue;
         }
@@ -225,6 +259,7 @@
             && here <= now + PATIENCE.as_millis() as Ms;
         let spread = fleet.deployment.report_ms;
         next = now + worker.rng.random_range(spread * 3 / 4..=spread * 5 / 4);
+        let asked = node;
         match answer.filter(|_| heard) {
             Some(answer) if answer.status == 200 => worker.take(here, now, &report, node, &answer),
             Some(answer) if answer.status == 421 => {
@@ -240,6 +275,10 @@
                 node = (node + 1) % addresses.len();
             }
         }
+        if node != asked {
+            // It closes the connection to a node that it leaves.
+            client = Client::default();
+        }
     }
 }
 
--- a/crates/basaltrail-testbed/tests/checker.rs
+++ b/crates/basaltrail-testbed/tests/checker.rs
@@ -9,7 +9,15 @@
 const END: u64 = 120_000;
 
 fn shape() -> JobShape {
-    JobShape { team: "imports".into(), tasks: 1, cpus: 4.0, spot: true, zone: None, service: false }
+    JobShape {
+        team: "imports".into(),
+        class: "array".into(),
+        tasks: 1,
+        cpus: 4.0,
+        spot: true,
+        zone: None,
+        service: false,
+    }
 }
 
 fn attempt(task: u32, number: u64, machine: &str) -> Attempt {
--- a/crates/basaltrail/src/clients.rs
+++ b/crates/basaltrail/src/clients.rs
@@ -3,7 +3,7 @@
 use basaltrail_core::{CloudOp, CloudReply, StateOp, StateReply};
 use basaltrail_protocol::{cloud, state};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::Request;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::Client;
@@ -11,14 +11,29 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Answers longer than this are not taken.
-const BODY_MOST: usize = 8 << 20;
+/// Part of a node's memory that one answer may take.
+const ANSWER_PART: f64 = 1.0 / 7.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
+/// Why a call has no answer.
+#[derive(Debug, PartialEq, Eq)]
+enum CallError {
+    /// None came, or none in time.
+    NoAnswer,
+    /// It is longer than this node takes.
+    TooLong,
+}
 
 #[derive(Clone)]
-pub struct Http(Client<HttpConnector, Full<Bytes>>);
+pub struct Http {
+    client: Client<HttpConnector, Full<Bytes>>,
+    /// Answers longer than this are not taken.
+    answer_bytes_most: usize,
+}
 
 impl Http {
-    pub fn new() -> Self {
+    /// A client for a node with so much memory.
+    pub fn new(memory_mb: f64) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_secs(2)));
@@ -27,7 +42,7 @@
             .pool_idle_timeout(Duration::from_secs(20))
             .pool_max_idle_per_host(6)
             .build(connector);
-        Http(client)
+        Http { client, answer_bytes_most: (memory_mb * ANSWER_PART * BYTES_PER_MB) as usize }
     }
 
     async fn call(
@@ -37,26 +52,41 @@
         path: &str,
         body: String,
         timeout_ms: u64,
-    ) -> Option<(u16, Bytes)> {
+    ) -> Result<(u16, Bytes), CallError> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{to}{path}"))
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)))
-            .ok()?;
+            .map_err(|_| CallError::NoAnswer)?;
         let work = async {
-            let response = self.0.request(request).await.ok()?;
+            let response = self.client.request(request).await.map_err(|_| CallError::NoAnswer)?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), BODY_MOST).collect().await.ok()?;
-            Some((status, body.to_bytes()))
+            let body = Limited::new(response.into_body(), self.answer_bytes_most);
+            let body =
+                body.collect().await.map_err(|error| match error.is::<LengthLimitError>() {
+                    true => CallError::TooLong,
+                    false => CallError::NoAnswer,
+                })?;
+            Ok((status, body.to_bytes()))
         };
-        tokio::time::timeout(Duration::from_millis(timeout_ms), work).await.ok()?
+        tokio::time::timeout(Duration::from_millis(timeout_ms), work)
+            .await
+            .unwrap_or(Err(CallError::NoAnswer))
     }
 
     pub async fn state(&self, to: SocketAddr, op: &StateOp, timeout_ms: u64) -> StateReply {
         let Ok((method, path, body)) = state::request(op) else { return StateReply::Refused };
         let answer = self.call(&to.to_string(), method, &path, body, timeout_ms).await;
-        let Some((status, body)) = answer else { return StateReply::Unknown };
+        let (status, body) = match answer {
+            Ok(answer) => answer,
+            // The same watch would be answered as long again: what it tells is read by pages.
+            Err(CallError::TooLong) if matches!(op, StateOp::Watch { .. }) => {
+                tracing::info!("event=news_too_long bytes_most={}", self.answer_bytes_most);
+                return StateReply::Compacted;
+            }
+            Err(_) => return StateReply::Unknown,
+        };
         state::reply(op, status, &body).unwrap_or_else(|e| {
             tracing::error!("event=state_answer_unreadable status={status} why={e}");
             StateReply::Unknown
@@ -66,10 +96,14 @@
     pub async fn cloud(&self, to: SocketAddr, op: &CloudOp, timeout_ms: u64) -> CloudReply {
         let (method, path, body) = cloud::request(op);
         let answer = self.call(&to.to_string(), method, &path, body, timeout_ms).await;
-        let Some((status, body)) = answer else { return CloudReply::Failed };
+        let Ok((status, body)) = answer else { return CloudReply::Failed };
         cloud::reply(op, status, &body).unwrap_or_else(|e| {
             tracing::error!("event=cloud_answer_unreadable status={status} why={e}");
             CloudReply::Failed
         })
     }
 }
+
+#[cfg(test)]
+#[path = "clients_tests.rs"]
+mod tests;
--- a/crates/basaltrail/src/driver.rs
+++ b/crates/basaltrail/src/driver.rs
@@ -50,6 +50,7 @@
     for peer in &settings.peers {
         tokio::spawn(peers::send(*peer, newest.clone()));
     }
+    let http = Http::new(settings.core.memory_mb);
     let seed = settings.core.incarnation;
     let node = settings.core.node.clone();
     let mut core = Node::new(Arc::new(settings.core), seed);
@@ -58,7 +59,7 @@
         node: core,
         started: Instant::now(),
         waiting: HashMap::new(),
-        http: Http::new(),
+        http,
         state: settings.state,
         cloud: settings.cloud,
         answers,
--- /dev/null
+++ b/crates/basaltrail/tests/try_out.rs
@@ -0,0 +1,92 @@
+//! The try-out deployment, and the lines of the README that a newcomer types against it.
+
+use basaltrail_testbed::http::{free_port, Client};
+use basaltrail_testbed::serve::{start, Plan};
+use basaltrail_testbed::world::World;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const README: &str = include_str!("../../../README.md");
+/// Where the README's lines go.
+const README_ADDRESS: &str = "http://127.0.0.1:7100";
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// One `curl` line: method, path and body.
+struct Request {
+    method: &'static str,
+    path: String,
+    body: String,
+}
+
+/// The requests of the README, in their order.
+fn requests_of_the_readme() -> Vec<Request> {
+    let after_each_curl = README.split("curl -i ").skip(1);
+    after_each_curl
+        .map(|text| {
+            let method = if text.starts_with("-X POST") { "POST" } else { "GET" };
+            let (_, target) = text.split_once(README_ADDRESS).expect("another address");
+            let path = target.split_whitespace().next().unwrap().to_string();
+            let line = target.lines().next().unwrap();
+            let body =
+                line.contains("-d '").then(|| target.split('\'').nth(1).unwrap().to_string());
+            Request { method, path, body: body.unwrap_or_default() }
+        })
+        .collect()
+}
+
+async fn send(at: SocketAddr, request: &Request) -> (u16, Value) {
+    let body = request.body.clone();
+    let answer = Client::default().call(at, request.method, &request.path, body, PATIENCE).await;
+    let answer = answer.expect("no answer");
+    (answer.status, answer.body)
+}
+
+/// Repeats a request, as a user with `curl` would, until its answer is the one awaited.
+async fn send_until(at: SocketAddr, request: &Request, wanted: impl Fn(u16, &Value) -> bool) {
+    let mut last = (0, Value::Null);
+    for _ in 0..300 {
+        last = send(at, request).await;
+        if wanted(last.0, &last.1) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("{} {}: last answer {last:?}", request.method, request.path);
+}
+
+async fn end_and_look(world: &World) {
+    let addresses: Vec<SocketAddr> =
+        (0..world.controllers.count()).map(|node| world.controllers.listen(node)).collect();
+    world.end().await;
+    for at in addresses {
+        let open = tokio::net::TcpStream::connect(at).await;
+        assert!(open.is_err(), "{at}: a process was left behind");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_readme_works_as_it_is_written() {
+    let directory = std::env::temp_dir().join(format!("basaltrail-try-out-{}", std::process::id()));
+    let plan = Plan {
+        program: env!("CARGO_BIN_EXE_basaltrail").into(),
+        nodes: 1,
+        machines: 8,
+        first_port: free_port().unwrap().port(),
+        directory: directory.clone(),
+        seed: 1,
+    };
+    let world = start(&plan).await.unwrap();
+    let at = world.controllers.listen(0);
+    let requests = requests_of_the_readme();
+    let [submit, poll, cancel] = requests.as_slice() else {
+        panic!("{} requests in the README", requests.len());
+    };
+    send_until(at, submit, |status, _| status == 201).await;
+    send_until(at, poll, |_, body| body["condition"] == "running" && body["running"] == 2).await;
+    send_until(at, cancel, |_, body| body["condition"] == "aborted").await;
+    let (status, body) = send(at, poll).await;
+    assert_eq!((status, &body["condition"]), (200, &"aborted".into()));
+    end_and_look(&world).await;
+    let _ = std::fs::remove_dir_all(directory);
+}
