--- a/crates/basaltrail-testbed/src/checker.rs
+++ b/crates/basaltrail-testbed/src/checker.rs
@@ -3,6 +3,7 @@
 use crate::clock::Ms;
 use crate::deployment::Deployment;
 use crate::history::{Attempt, Condition, Event, JobShape, Off, Question, What};
+use crate::usage;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Once troubles are over, a job is spoken of within this (PROTOCOL's rule `forgotten`).
@@ -111,7 +112,7 @@
         breaches
             .extend(found.into_iter().flatten().map(|breach| Breach { job: Some(*job), ..breach }));
     }
-    breaches.extend(quota(&jobs, bounds));
+    breaches.extend(quota(events, bounds));
     if !started {
         breaches.push(breach("nothing_ran", 0, "no task was started".into()));
     }
@@ -306,29 +307,17 @@
     found
 }
 
-/// Sums each team's use over time; what ends at a moment is gone before what begins then.
-fn quota(jobs: &BTreeMap<u64, JobSeen>, bounds: &Bounds) -> Vec<Breach> {
+/// Judges each team's use whenever a task begins.
+fn quota(events: &[Event], bounds: &Bounds) -> Vec<Breach> {
+    let changes = usage::by_team(events);
     let mut found = Vec::new();
     for team in &bounds.deployment.teams {
-        let mut changes: Vec<(Ms, bool, f64, u64)> = Vec::new();
-        for (job, seen) in jobs {
-            let Some(shape) = seen.shape.as_ref().filter(|shape| shape.team == team.name) else {
-                continue;
-            };
-            for stay in &seen.stays {
-                changes.push((stay.on, true, shape.cpus, *job));
-                changes.push((stay.until(Ms::MAX), false, shape.cpus, *job));
-            }
-        }
-        changes.sort_by_key(|(at, begins, _, job)| (*at, *begins, *job));
-        let mut used = 0.0;
-        for (at, begins, cpus, job) in changes {
-            used += if begins { cpus } else { -cpus };
-            if begins && used > team.cpus_max + 1e-9 {
-                let text = format!("{} uses {used} of {} CPUs", team.name, team.cpus_max);
-                found.push(Breach { job: Some(job), ..breach("quota", at, text) });
-            }
-        }
+        let of_team = changes.get(team.name).into_iter().flatten();
+        let above = of_team.filter(|change| change.begins && change.used > team.cpus_max + 1e-9);
+        found.extend(above.map(|change| {
+            let text = format!("{} uses {} of {} CPUs", team.name, change.used, team.cpus_max);
+            Breach { job: Some(change.job), ..breach("quota", change.at_ms, text) }
+        }));
     }
     found
 }
--- a/crates/basaltrail-testbed/src/controllers.rs
+++ b/crates/basaltrail-testbed/src/controllers.rs
@@ -2,6 +2,7 @@
 //! Only children of this process are ever sent a signal, by their process id.
 
 use crate::deployment::{Addresses, Deployment};
+use crate::world::Setup;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use std::fs::OpenOptions;
@@ -31,6 +32,7 @@
 /// The controllers of a run.
 pub struct Controllers {
     program: PathBuf,
+    policy: Option<PathBuf>,
     directory: PathBuf,
     addresses: Vec<Addresses>,
     processes: Vec<Mutex<Option<Child>>>,
@@ -42,20 +44,16 @@
     /// # Errors
     ///
     /// If a file cannot be written.
-    pub fn prepare(
-        program: &Path,
-        directory: &Path,
-        deployment: &Deployment,
-        addresses: Vec<Addresses>,
-    ) -> Result<Self, ControllerError> {
+    pub fn prepare(setup: &Setup<'_>, addresses: Vec<Addresses>) -> Result<Self, ControllerError> {
         let controllers = Controllers {
-            program: program.into(),
-            directory: directory.into(),
+            program: setup.program.into(),
+            policy: setup.policy.map(Path::to_path_buf),
+            directory: setup.directory.into(),
             processes: addresses.iter().map(|_| Mutex::new(None)).collect(),
             addresses,
         };
         for node in 0..controllers.count() {
-            controllers.write_settings(node, deployment)?;
+            controllers.write_settings(node, setup.deployment)?;
         }
         Ok(controllers)
     }
@@ -102,9 +100,12 @@
         let path = self.log(node);
         let file = |error| ControllerError::File(path.clone(), error);
         let log = OpenOptions::new().create(true).append(true).open(&path).map_err(file)?;
-        let started = Command::new(&self.program)
-            .arg("--config")
-            .arg(self.directory.join(format!("stack-{node}.toml")))
+        let mut command = Command::new(&self.program);
+        command.arg("--config").arg(self.directory.join(format!("stack-{node}.toml")));
+        if let Some(policy) = &self.policy {
+            command.arg("--policy").arg(policy);
+        }
+        let started = command
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
--- a/crates/basaltrail-testbed/src/history.rs
+++ b/crates/basaltrail-testbed/src/history.rs
@@ -112,6 +112,9 @@
         status: Option<u16>,
         /// The job's condition, if the answer told it.
         condition: Option<Condition>,
+        /// When to come back, in seconds, if the answer told it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        retry_after_s: Option<u64>,
     },
     /// A job that nobody submitted was asked for.
     StrangerTold {
--- a/crates/basaltrail-testbed/src/serve.rs
+++ b/crates/basaltrail-testbed/src/serve.rs
@@ -23,6 +23,8 @@
 pub struct Plan {
     /// The controllers' program.
     pub program: PathBuf,
+    /// The controllers' policy file, if there is one.
+    pub policy: Option<PathBuf>,
     /// Controllers.
     pub nodes: usize,
     /// Machines that the cloud can rent.
@@ -58,6 +60,7 @@
     let deployment = plan.deployment();
     let setup = Setup {
         program: &plan.program,
+        policy: plan.policy.as_deref(),
         deployment: &deployment,
         directory: &plan.directory,
         first_port: Some(plan.first_port),
--- a/crates/basaltrail-testbed/src/soak.rs
+++ b/crates/basaltrail-testbed/src/soak.rs
@@ -23,6 +23,8 @@
 pub struct Plan {
     /// The controllers' program.
     pub program: PathBuf,
+    /// The controllers' policy file, if there is one.
+    pub policy: Option<PathBuf>,
     /// The deployment.
     pub deployment: Deployment,
     /// Kinds of faults that may come.
@@ -66,6 +68,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let setup = Setup {
         program: &plan.program,
+        policy: plan.policy.as_deref(),
         deployment: &plan.deployment,
         directory: &directory,
         first_port: None,
--- a/crates/basaltrail-testbed/src/state.rs
+++ b/crates/basaltrail-testbed/src/state.rs
@@ -95,6 +95,16 @@
     slow_ms: Ms,
     fault: TransactionFault,
     rng: SmallRng,
+    served: Served,
+}
+
+/// What was served so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Served {
+    /// Requests, those that were refused included.
+    pub requests: u64,
+    /// Puts and deletes that were carried out.
+    pub changes: u64,
 }
 
 /// The state service.
@@ -126,6 +136,7 @@
             slow_ms: 0,
             fault: TransactionFault::None,
             rng: SmallRng::seed_from_u64(seed),
+            served: Served::default(),
         };
         let (revision, _) = watch::channel(0);
         let store = Arc::new(Mutex::new(store));
@@ -305,6 +316,11 @@
         self.lock().keys.get(key).map(|kept| kept.value.clone())
     }
 
+    /// What was served so far.
+    pub fn served(&self) -> Served {
+        self.lock().served
+    }
+
     /// The service is out for all; afterwards each loan has its full time again.
     pub fn outage(&self, for_ms: Ms) {
         let now = self.clock.now();
@@ -337,6 +353,7 @@
     }
 
     fn admit(&mut self, now: Ms, node: usize) -> Result<(), Status> {
+        self.served.requests += 1;
         if !self.serves(now, node) {
             return Err((503, json!({"error": "trouble"})));
         }
@@ -414,6 +431,7 @@
             return (400, json!({"error": "no such lease"}));
         }
         self.revision += u64::from(!changes.is_empty());
+        self.served.changes += changes.len() as u64;
         for change in changes {
             if let Some(key) = change["put"].as_str() {
                 self.put(key, change["v"].clone(), change["loan"].as_u64());
--- a/crates/basaltrail-testbed/src/users.rs
+++ b/crates/basaltrail-testbed/src/users.rs
@@ -6,11 +6,12 @@
 use crate::history::{Condition, History, JobShape, Question, What};
 use crate::http::{Answer, Client};
 use crate::lock;
+use crate::request::JobRequest;
 use crate::worker::{JobDescriptions, JobWork};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use serde_json::{json, Value};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -43,7 +44,7 @@
     Accepted,
     /// That it is done or cancelled.
     Over,
-    /// That it can't be taken; it is not repeated.
+    /// That it can't be taken, or not within the time that a user repeats it.
     Refused,
 }
 
@@ -90,6 +91,30 @@
         self.seen().into_iter().filter_map(accepted).collect()
     }
 
+    /// Jobs that were told to be over.
+    pub fn over_count(&self) -> usize {
+        lock(&self.seen).values().filter(|seen| seen.told == Told::Over).count()
+    }
+
+    /// Jobs that may still be accepted or run.
+    pub fn unfinished(&self) -> usize {
+        let open = |seen: &&Seen| matches!(seen.told, Told::Nothing | Told::Accepted);
+        lock(&self.seen).values().filter(open).count()
+    }
+
+    /// Has a user submit a job, now, and follow it until it is over.
+    pub fn submit(self: &Arc<Self>, job: u64, request: &JobRequest, habits: Habits, seed: u64) {
+        let user = User {
+            shared: self.clone(),
+            rng: SmallRng::seed_from_u64(seed),
+            client: self.client_of(job),
+            job,
+            body: request.body(job),
+            habits,
+        };
+        tokio::spawn(user.run(request.work()));
+    }
+
     /// Has users cancel their jobs, at once.
     pub fn call_off(&self, jobs: &[u64]) {
         lock(&self.called_off).extend(jobs);
@@ -112,6 +137,23 @@
     }
 }
 
+/// How a user behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Habits {
+    /// How often an array is cancelled; services always are.
+    pub cancel_share: f64,
+    /// How often a question about a job is a repeat of its submission.
+    pub repeat_share: f64,
+    /// The controller that takes the submissions, if not one drawn for each.
+    pub submit_to: Option<usize>,
+}
+
+impl Default for Habits {
+    fn default() -> Self {
+        Habits { cancel_share: 0.15, repeat_share: 0.03, submit_to: None }
+    }
+}
+
 /// One user with one job.
 struct User {
     shared: Arc<Users>,
@@ -119,6 +161,7 @@
     client: Client,
     job: u64,
     body: Value,
+    habits: Habits,
 }
 
 /// Submits jobs until a moment, some more than the machines can run at once.
@@ -128,15 +171,8 @@
     // Work for a few times the machines is there from the first moment on.
     let at_once = users.deployment.machines / 3 + 4;
     while users.clock.now() < until {
-        let (body, work) = draw_job(&mut rng, &users.deployment, job);
-        let user = User {
-            shared: users.clone(),
-            rng: SmallRng::seed_from_u64(rng.random()),
-            client: users.client_of(job),
-            job,
-            body,
-        };
-        tokio::spawn(user.run(work));
+        let request = draw_job(&mut rng, &users.deployment);
+        users.submit(job, &request, Habits::default(), rng.random());
         job += 1;
         if job > 1_000 + at_once as u64 {
             tokio::time::sleep(pause_between_jobs(&mut rng, users.deployment.machines)).await;
@@ -177,7 +213,7 @@
     ARRAY_TASKS * (machines / MACHINES_OF_SMALL_JOBS).max(1) as u32
 }
 
-fn draw_job(rng: &mut SmallRng, deployment: &Deployment, job: u64) -> (Value, JobWork) {
+fn draw_job(rng: &mut SmallRng, deployment: &Deployment) -> JobRequest {
     let team = deployment.teams[rng.random_range(0..deployment.teams.len())].name;
     let service = rng.random_bool(0.06);
     let shape = JobShape {
@@ -198,15 +234,7 @@
         true => rng.random_range(deployment.cancel_ms..deployment.cancel_ms * 2),
         false => rng.random_range(500..4_000),
     };
-    let body = json!({"nameId": format!("job-{job:06}"),
-        "shelf": shape.class,
-        "desk": shape.team, "binding": if service { "daemon" } else { "array" },
-        "precedence": if service { "critical" } else { "standard" }, "leaves": shape.tasks,
-        "vcpus": shape.cpus, "gpus": 0.0, "ramGb": 1.0, "edition": format!("img-{}", job % 3),
-        "sizeGb": 0.5, "formats": null, "room": shape.zone, "samePlace": false, "apart": false,
-        "remainders": shape.spot, "reckonS": if service { 0.0 } else { run_ms as f64 / 1000.0 },
-        "bookmarkS": 0.0, "pressS": 0.0, "dueS": null});
-    (body, JobWork { shape, run_ms })
+    JobRequest { shape, priority: if service { "critical" } else { "standard" }, run_ms }
 }
 
 impl User {
@@ -222,7 +250,9 @@
         }
         let cancel_after = match service {
             true => self.rng.random_range(5_000..25_000),
-            false if self.rng.random_bool(0.15) => self.rng.random_range(200..12_000),
+            false if self.rng.random_bool(self.habits.cancel_share) => {
+                self.rng.random_range(200..12_000)
+            }
             false => Ms::MAX / 2,
         };
         let cancel_at = clock.now() + cancel_after;
@@ -234,7 +264,7 @@
             }
             let question = match cancels {
                 true => Question::Cancel,
-                false if self.rng.random_bool(0.03) => Question::Submit,
+                false if self.rng.random_bool(self.habits.repeat_share) => Question::Submit,
                 false => Question::Poll,
             };
             let answer = self.ask(question).await;
@@ -282,6 +312,7 @@
                 _ => self.pause(&answer, true).await,
             }
         }
+        self.shared.note(self.job, self.shared.clock.now(), Told::Refused);
         false
     }
 
@@ -306,7 +337,9 @@
             Question::Poll => ("GET", name, String::new(), POLL_PATIENCE),
             Question::Cancel => ("POST", format!("{name}/cancel"), String::new(), PATIENCE),
         };
-        let node = self.rng.random_range(0..self.shared.nodes.len());
+        let drawn = self.rng.random_range(0..self.shared.nodes.len());
+        let named = self.habits.submit_to.filter(|_| question == Question::Submit);
+        let node = named.unwrap_or(drawn);
         let asked_ms = self.shared.clock.now();
         let to = self.shared.nodes[node];
         let answer = self.client.call(to, method, &path, body, patience).await;
@@ -318,6 +351,7 @@
             node,
             status: answer.as_ref().map(|answer| answer.status),
             condition: answer.as_ref().and_then(condition),
+            retry_after_s: answer.as_ref().and_then(|answer| answer.retry_after_s),
         };
         self.shared.history.add(now, told);
         match answer.as_ref().and_then(condition) {
--- a/crates/basaltrail-testbed/src/world.rs
+++ b/crates/basaltrail-testbed/src/world.rs
@@ -40,6 +40,8 @@
 pub struct Setup<'a> {
     /// The controllers' program.
     pub program: &'a Path,
+    /// The controllers' policy file, if there is one.
+    pub policy: Option<&'a Path>,
     /// The deployment.
     pub deployment: &'a Deployment,
     /// Where settings and logs go.
@@ -143,7 +145,7 @@
     let state = StateService::start(clock, limits, seed);
     let (cloud, rented) = Cloud::new(clock, &deployment, seed);
     let (links, addresses) = connect(setup, &state, &cloud).await?;
-    let controllers = Controllers::prepare(setup.program, setup.directory, &deployment, addresses)?;
+    let controllers = Controllers::prepare(setup, addresses)?;
     let near = |links: &Vec<Link>| links.iter().map(|link| link.near).collect::<Vec<SocketAddr>>();
     let nodes: HashMap<&'static str, Vec<SocketAddr>> =
         ZONES.iter().zip(&links.workers).map(|(zone, links)| (*zone, near(links))).collect();
--- a/crates/basaltrail-testbed/tests/checker.rs
+++ b/crates/basaltrail-testbed/tests/checker.rs
@@ -38,7 +38,8 @@
 
 fn told(at_ms: u64, question: Question, status: u16, condition: Option<Condition>) -> Event {
     let (asked_ms, status) = (at_ms - 10, Some(status));
-    at(at_ms, What::Told { job: JOB, question, asked_ms, node: 0, status, condition })
+    let (job, node, retry_after_s) = (JOB, 0, None);
+    at(at_ms, What::Told { job, question, asked_ms, node, status, condition, retry_after_s })
 }
 
 /// A job of one task that is accepted, runs on a machine, and is told to be done.
@@ -200,6 +201,7 @@
             node: 1,
             status: Some(200),
             condition: Some(Condition::Running),
+            retry_after_s: None,
         },
     );
     assert_eq!(rules(with(vec![older])), Vec::<&str>::new());
--- a/crates/basaltrail/tests/try_out.rs
+++ b/crates/basaltrail/tests/try_out.rs
@@ -70,6 +70,7 @@
     let directory = std::env::temp_dir().join(format!("basaltrail-try-out-{}", std::process::id()));
     let plan = Plan {
         program: env!("CARGO_BIN_EXE_basaltrail").into(),
+        policy: None,
         nodes: 1,
         machines: 8,
         first_port: free_port().unwrap().port(),
