Guarantees within a bound; limits that differ or fall, simulated

Cause: a team within its guarantee waited for as long as others' tasks that cannot save ran (only work that saves was stopped for it). What holds while controllers differ in a limit, or a limit falls below use, was argued and not shown.

Change: `(guarantee-leases N)` in the policy file, off by default: a team all of whose unfinished jobs fit into its guarantee and that has found no room for N leases gets what others run beyond theirs, saved or not, services last. The waits are a part of the leader that owns its state (`guarantee`). A task that may be stopped is a type with named fields. The simulation gives each controller a configuration of its own that a restart can change.

--- a/crates/basaltrail-core/src/leadership/mod.rs
+++ b/crates/basaltrail-core/src/leadership/mod.rs
@@ -18,6 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 mod checkin;
+mod guarantee;
 mod listing;
 mod placing;
 mod preempting;
@@ -140,10 +141,6 @@
 /// Workers' leases for which a write rests that the state service rejected.
 const PARKED_LEASES: Ms = 6;
 
-/// A task that may be stopped for others: by priority, then those with the most time
-/// to lose or none to win, youngest first.
-type Victim = (Priority, i64, Ms, MachineId, (TaskId, Attempt), Need);
-
 /// Names of returned machines that are kept: a whole fleet may go back and late copies of its
 /// reports follow.
 fn most_returned(settings: &Settings) -> usize {
@@ -254,6 +251,7 @@
     reach: HashMap<JobId, f64>,
     /// The largest service of each class of late.
     shapes: BTreeMap<String, standing::Shape>,
+    guarantee_waits: guarantee::GuaranteeWaits,
     rental: Rental,
     returned: Recent,
     /// Jobs that workers told of and the table does not hold.
@@ -317,6 +315,7 @@
             reserved: BTreeMap::new(),
             reach: HashMap::new(),
             shapes: BTreeMap::new(),
+            guarantee_waits: guarantee::GuaranteeWaits::default(),
             rental: Rental::default(),
             returned: Recent::new(most_returned(ctx.cfg)),
             unknown: BTreeSet::new(),
--- a/crates/basaltrail-core/src/leadership/placing.rs
+++ b/crates/basaltrail-core/src/leadership/placing.rs
@@ -1,5 +1,6 @@
 //! Rounds: who goes first, where to, and who makes room.
 
+use super::guarantee::TeamNeed;
 use super::*;
 
 /// What a pass over all machines found, for those that report before the next one.
@@ -293,13 +294,34 @@
         let pauses = open().map(|j| j.health.not_before());
         let avoided = open().filter_map(|j| j.health.avoids_until(ctx.now));
         let machines = self.machines.values().map(|m| m.no_room_until);
-        self.wake_at =
-            pauses.chain(avoided).chain(machines).filter(|t| *t > ctx.now).min().unwrap_or(Ms::MAX);
+        let next = pauses.chain(avoided).chain(machines).filter(|t| *t > ctx.now).min();
+        self.note_guarantees(ctx, &blocked);
+        let overdue = ctx
+            .cfg
+            .guarantee_patience_ms()
+            .and_then(|patience| self.guarantee_waits.next_overdue(ctx.now, patience));
+        self.wake_at = next.into_iter().chain(overdue).min().unwrap_or(Ms::MAX);
         self.preempt(ctx, calls, &blocked, &used, &rooms);
         pass.used = used;
         self.pass = Some(pass);
     }
 
+    /// Which teams wait for what they are guaranteed, after a pass that left these jobs without
+    /// room.
+    fn note_guarantees(&mut self, ctx: &Context, blocked: &[JobId]) {
+        let mut needs = vec![TeamNeed::default(); ctx.cfg.teams.len()];
+        let open = |job: &&RunJob| job.ended.is_none() && !job.health.suspect();
+        for job in self.jobs.values().filter(open) {
+            let tasks = job.pending() as f64 + job.placed.len() as f64;
+            needs[job.team].unfinished_cpus += tasks * job.spec.cpus;
+        }
+        for job in blocked.iter().filter_map(|id| self.jobs.get(id)) {
+            needs[job.team].blocked = true;
+        }
+        let guaranteed = ctx.cfg.teams.iter().map(|team| team.cpus);
+        self.guarantee_waits.note(ctx.now, guaranteed.zip(needs));
+    }
+
     /// Places on the machine that reports now, by the ranking of the last pass, so that the
     /// answer carries the starts. Were they left to the next pass, they would go out with
     /// the answer to the next report, and its room would be idle until then.
--- a/crates/basaltrail-core/src/leadership/preempting.rs
+++ b/crates/basaltrail-core/src/leadership/preempting.rs
@@ -25,11 +25,23 @@
     }
 }
 
+/// A task that may be stopped for others.
+#[derive(Clone, Debug)]
+pub(super) struct Victim {
+    machine: MachineId,
+    key: (TaskId, Attempt),
+    need: Need,
+}
+
+/// Who goes first: lower priorities, then those with the most time to lose or none to win, and
+/// the youngest.
+type VictimRank = (Priority, i64, Ms);
+
 impl Leadership {
-    /// Tasks that may be stopped for others, in the order of [`Victim`]. Checkpointing work
+    /// Tasks that may be stopped for others, in the order in which they go. Checkpointing work
     /// only: what cannot save would lose all it has done.
     pub(super) fn victims(&self, ctx: &Context) -> Vec<Victim> {
-        let mut victims: Vec<Victim> = Vec::new();
+        let mut ranked: Vec<(VictimRank, Victim)> = Vec::new();
         for m in self.machines.values().filter(|m| self.usable(ctx, m)) {
             for (key, e) in &m.entries {
                 let Some(n) = e.need.filter(|n| n.save_s.is_some()) else { continue };
@@ -44,12 +56,29 @@
                     continue;
                 }
                 let spare = self.reach.get(&key.0.job);
-                let rank = spare.map_or(i64::MIN, |s| -s as i64 / 30);
-                victims.push((n.priority, rank, Ms::MAX - e.since, m.id.clone(), *key, n));
+                let time = spare.map_or(i64::MIN, |s| -s as i64 / 30);
+                let victim = Victim { machine: m.id.clone(), key: *key, need: n };
+                ranked.push(((n.priority, time, Ms::MAX - e.since), victim));
             }
         }
-        victims.sort_by(|a, b| (a.0, a.1, a.2, &a.3, a.4).cmp(&(b.0, b.1, b.2, &b.3, b.4)));
-        victims
+        sorted(ranked)
+    }
+
+    /// Tasks that may be stopped for a team that has waited too long for its guarantee: all that
+    /// hold room, also those that cannot save or have just begun; services last.
+    fn victims_of_guarantees(&self, ctx: &Context) -> Vec<Victim> {
+        let mut ranked: Vec<((bool, VictimRank), Victim)> = Vec::new();
+        for machine in self.machines.values().filter(|machine| self.usable(ctx, machine)) {
+            for (key, entry) in &machine.entries {
+                let held = entry.need.filter(|_| entry.holds() && entry.stop.is_none());
+                let Some(need) = held else { continue };
+                let service = self.jobs.get(&key.0.job).is_some_and(|job| job.spec.is_service());
+                let rank = (need.priority, 0, Ms::MAX - entry.since);
+                let victim = Victim { machine: machine.id.clone(), key: *key, need };
+                ranked.push(((service, rank), victim));
+            }
+        }
+        sorted(ranked)
     }
 
     /// CPUs that are free, or come free as tasks are stopped.
@@ -82,6 +111,7 @@
         let mut coming = self.coming_room(ctx, rooms);
         let mut freed: BTreeMap<usize, f64> = BTreeMap::new();
         let mut victims: Option<Vec<Victim>> = None;
+        let mut victims_of_guarantees: Option<Vec<Victim>> = None;
         let mut stopped = 0;
         for id in blocked {
             let Some(j) = self.jobs.get(id) else { continue };
@@ -101,29 +131,38 @@
             if want <= 1e-9 || !(pressed || guarantee >= j.spec.cpus - 1e-9) {
                 continue;
             }
-            let victims = victims.get_or_insert_with(|| self.victims(ctx));
+            let overdue = ctx
+                .cfg
+                .guarantee_patience_ms()
+                .is_some_and(|most| self.guarantee_waits.overdue(j.team, ctx.now, most));
+            let victims = match overdue {
+                true => {
+                    victims_of_guarantees.get_or_insert_with(|| self.victims_of_guarantees(ctx))
+                }
+                false => victims.get_or_insert_with(|| self.victims(ctx)),
+            };
             let mut cleared = false;
-            for (priority, _, _, machine, key, n) in victims.iter() {
+            for Victim { machine, key, need: n } in victims.iter() {
                 if want <= 1e-9 {
                     break;
                 }
                 let borrowed = used[n.team].0
                     - freed.get(&n.team).copied().unwrap_or(0.0)
                     - ctx.cfg.teams[n.team].cpus;
-                let lower = *priority < j.spec.priority
+                let lower = n.priority < j.spec.priority
                     && (guarantee >= j.spec.cpus - 1e-9 || borrowed >= n.cpus - 1e-9)
                     && pressed;
                 let reclaim = n.team != j.team
                     && guarantee >= j.spec.cpus - 1e-9
                     && borrowed >= n.cpus - 1e-9;
-                if !lower && !reclaim {
+                if !reclaim && (overdue || !lower) {
                     continue;
                 }
                 let m = self.machines.get_mut(machine);
                 let m = m.filter(|m| useful(&m.machine_type, &m.zone, m.spot));
                 let e = m.and_then(|m| m.entries.get_mut(key)).filter(|e| e.stop.is_none());
                 let Some(e) = e else { continue };
-                e.stop = n.save_s.map(|s| s + 1.0);
+                e.stop = Some(n.save_s.map_or(0.0, |s| s + 1.0));
                 e.stop_sent = None;
                 want -= n.cpus;
                 guarantee -= n.cpus;
@@ -141,6 +180,13 @@
     }
 }
 
+fn sorted<R: Ord>(mut ranked: Vec<(R, Victim)>) -> Vec<Victim> {
+    ranked.sort_by(|(rank, a), (other, b)| {
+        (rank, &a.machine, a.key).cmp(&(other, &b.machine, b.key))
+    });
+    ranked.into_iter().map(|(_, victim)| victim).collect()
+}
+
 #[cfg(test)]
 #[path = "preempting_tests.rs"]
 mod tests;
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -84,6 +84,9 @@
     pub idle_s: f64,
     /// Machines looked at for one placement before sampling starts.
     pub sample: usize,
+    /// Workers' leases that a team within its guarantee waits before work that others borrowed
+    /// is stopped for it even if it cannot save; never if not set.
+    pub guarantee_leases: Option<f64>,
     /// Weights by team; a team not named weighs its guarantee.
     pub weights: Vec<(String, f64)>,
 }
@@ -97,6 +100,7 @@
             headroom: 1.0,
             idle_s: 20.0,
             sample: 64,
+            guarantee_leases: None,
             weights: Vec::new(),
         }
     }
@@ -136,6 +140,12 @@
         (self.cancel_ms / 6).min(self.view_age_most_ms() / 3)
     }
 
+    /// How long a team within its guarantee waits for work that cannot save; for ever if the
+    /// operators set nothing.
+    pub fn guarantee_patience_ms(&self) -> Option<Ms> {
+        self.policy.guarantee_leases.map(|leases| (self.lease_ms as f64 * leases) as Ms)
+    }
+
     pub fn team(&self, name: &str) -> Option<usize> {
         self.teams.iter().position(|t| t.name == name)
     }
--- a/crates/basaltrail-core/tests/simulation/simulated/checks.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/checks.rs
@@ -2,6 +2,10 @@
 
 use super::*;
 
+/// What a leader ordered begins within so long: a worker takes an answer for [`PATIENCE`], may
+/// hang for the rest of its lease, and then has the image.
+const BEGINS: u64 = LEASE + 3_000;
+
 impl World {
     /// The rules that a task can break by starting.
     pub(super) fn check_start(&mut self, m: usize, user: usize, key: (TaskId, Attempt)) {
@@ -29,7 +33,8 @@
         if spread || apart || zone || (w.spot && !spec.spot) {
             bad.push(format!("wrong_place: {task:?} on {m}"));
         }
-        for (team, max) in CPUS_MAX.iter().enumerate() {
+        for team in 0..CPUS_MAX.len() {
+            let max = self.limit_in_force(team);
             let used: f64 = self
                 .workers
                 .iter()
@@ -47,6 +52,17 @@
         }
     }
 
+    /// The highest limit of a team that some controller goes by, or went by so lately that what
+    /// it ordered may still begin.
+    fn limit_in_force(&self, team: usize) -> f64 {
+        let limits = self.nodes.iter().flat_map(|node| {
+            let late = |(ended, _): &&(u64, Configuration)| self.t <= *ended + BEGINS;
+            let earlier = node.earlier.iter().filter(late).map(|(_, earlier)| earlier);
+            earlier.chain([&node.configuration])
+        });
+        limits.map(|configuration| configuration.cpus_max[team]).fold(0.0, f64::max)
+    }
+
     pub(super) fn check_cancelled(&mut self) {
         let mut bad = Vec::new();
         for u in &self.users {
--- a/crates/basaltrail-core/tests/simulation/simulated/mod.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/mod.rs
@@ -4,6 +4,7 @@
 
 mod checks;
 mod days;
+mod limits;
 mod meetings;
 mod nodes;
 mod rolls;
@@ -45,11 +46,26 @@
 const LIMITS: (usize, usize) = (1_024, 12);
 const NEXT_LIMITS: (usize, usize) = (512, 4);
 
-fn settings(node: usize, incarnation: u64, limits: (usize, usize)) -> Settings {
+/// What a controller's files say, beside what is the same everywhere.
+#[derive(Clone)]
+struct Configuration {
+    limits: (usize, usize),
+    cpus_max: [f64; CPUS_MAX.len()],
+    policy: Policy,
+}
+
+impl Default for Configuration {
+    fn default() -> Self {
+        Configuration { limits: LIMITS, cpus_max: CPUS_MAX, policy: Policy::default() }
+    }
+}
+
+fn settings(node: usize, incarnation: u64, configuration: &Configuration) -> Settings {
+    let limits = configuration.limits;
     let team = |i: usize| Team {
         name: format!("t{i}"),
         cpus: if CPUS_MAX[i].is_finite() { CPUS_MAX[i] / 2.0 } else { 0.0 },
-        cpus_max: CPUS_MAX[i],
+        cpus_max: configuration.cpus_max[i],
         gpus: 0.0,
         gpus_max: 0.0,
     };
@@ -73,7 +89,7 @@
         memory_mb: 56.0,
         machines_most: 5_000,
         incarnation,
-        policy: Policy::default(),
+        policy: configuration.policy.clone(),
     }
 }
 
@@ -229,9 +245,11 @@
     island_until: u64,
     /// Cut off from the workers, and whether what is sent is held or lost.
     workers_cut: Option<(u64, bool)>,
-    /// What its version goes by, and what it will when it starts again.
-    limits: (usize, usize),
-    next_limits: (usize, usize),
+    /// What its process goes by, and what it will when it starts again.
+    configuration: Configuration,
+    next_configuration: Configuration,
+    /// What its earlier processes went by, and until when.
+    earlier: Vec<(u64, Configuration)>,
 }
 
 struct World {
@@ -283,6 +301,8 @@
     known: bool,
     broken: Vec<String>,
     started: u64,
+    /// Orders to stop a task whose job goes on.
+    stopped: u64,
     /// When the last trouble is over.
     quiet_at: u64,
 }
--- a/crates/basaltrail-core/tests/simulation/simulated/nodes.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/nodes.rs
@@ -45,7 +45,7 @@
                     let unknown = Input::State { op, reply: StateReply::Unknown };
                     self.send(self.t + timeout_ms, i, epoch, Msg::Input(unknown));
                     let mut at = goes + self.delay();
-                    if !within(&call, self.nodes[i].limits) {
+                    if !within(&call, self.nodes[i].configuration.limits) {
                         self.rule(format!("node {i} wrote beyond its limits: {call:?}"));
                     }
                     // A transaction is carried out twice; nobody hears of the second.
--- a/crates/basaltrail-core/tests/simulation/simulated/rolls.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/rolls.rs
@@ -8,7 +8,7 @@
     fn roll(&mut self, at_once: usize, every: u64, between: impl Fn(&mut World, usize)) {
         for first in (0..NODES).step_by(at_once) {
             for i in first..(first + at_once).min(NODES) {
-                self.nodes[i].next_limits = NEXT_LIMITS;
+                self.nodes[i].next_configuration.limits = NEXT_LIMITS;
                 self.nodes[i].next_version = Version::default();
                 self.end(i, 400 + 100 * i as u64);
             }
--- a/crates/basaltrail-core/tests/simulation/simulated/workers.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/workers.rs
@@ -239,6 +239,8 @@
                 }
                 Order::Stop { task, attempt, grace_s } => {
                     let user = self.users.iter().find(|u| u.job == task.job);
+                    let goes_on = |u: &&User| u.cancel_at.is_none() && u.told == Told::Accepted;
+                    self.stopped += u64::from(user.is_some_and(|u| goes_on(&u)));
                     if let (Some(r), Some(u)) = (w.tasks.get_mut(&(task, attempt)), user) {
                         let saves = u.spec.checkpoint_s > 0.0 && grace_s >= u.spec.save_s;
                         match r.state {
--- a/crates/basaltrail-core/tests/simulation/simulated/world.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/world.rs
@@ -102,8 +102,9 @@
                     frozen_until: 0,
                     island_until: 0,
                     workers_cut: None,
-                    limits: LIMITS,
-                    next_limits: LIMITS,
+                    configuration: Configuration::default(),
+                    next_configuration: Configuration::default(),
+                    earlier: Vec::new(),
                 })
                 .collect(),
             store: Store { limits: LIMITS, ..Store::default() },
@@ -135,6 +136,7 @@
             known: false,
             broken: Vec::new(),
             started: 0,
+            stopped: 0,
             quiet_at: FAULTS_END,
         };
         for i in 0..NODES {
@@ -194,9 +196,11 @@
         let c = &mut self.nodes[i];
         c.epoch += 1;
         c.born = self.t;
-        c.limits = c.next_limits;
+        let before = std::mem::replace(&mut c.configuration, c.next_configuration.clone());
+        c.earlier.push((self.t, before));
         c.version = c.next_version;
-        c.node = Some(Process::start(c.version, settings(i, incarnation, c.limits), incarnation));
+        let settings = settings(i, incarnation, &c.configuration);
+        c.node = Some(Process::start(c.version, settings, incarnation));
         let epoch = c.epoch;
         self.send(self.t, i, epoch, Msg::Tick);
     }
--- a/crates/basaltrail/src/policy.rs
+++ b/crates/basaltrail/src/policy.rs
@@ -57,6 +57,7 @@
             "lease-term-s" => policy.lease_term_s = number(0.5, 86_400.0)?,
             "headroom" => policy.headroom = number(0.0, 10.0)?,
             "idle-s" => policy.idle_s = number(0.0, 86_400.0)?,
+            "guarantee-leases" => policy.guarantee_leases = Some(number(0.5, 1e4)?),
             "sample" => policy.sample = number(1.0, 1e6)? as usize,
             "weights" => {
                 for team in &args {
