--- /dev/null
+++ b/crates/basaltrail-admission/src/lib.rs
@@ -0,0 +1,19 @@
+//! Admission of submissions, agreed between all controllers, without I/O.
+//!
+//! The leader bounds the backlog of each team and hands out parts of it, allotments, to the
+//! nodes ([`Planner`]). A node admits out of its allotment in memory ([`Gate`]) and makes the
+//! acceptance conditional on the stamp of the allotment's record. What is known of the records,
+//! and of what was accepted under each, is a [`View`], which every node keeps.
+#![warn(missing_docs)]
+
+mod allotment;
+mod gate;
+mod planner;
+mod room;
+mod view;
+
+pub use allotment::{Allotment, ClassRoom, Demand, OTHER_CLASSES};
+pub use gate::{Gate, Mode, Outcome, Reason, Refusal, Ticket};
+pub use planner::{Bounds, ClassLoad, Grant, Planner, TeamLoad, Written};
+pub use room::Room;
+pub use view::{Acceptance, Held, View};
--- /dev/null
+++ b/crates/basaltrail-admission/tests/model.rs
@@ -0,0 +1,367 @@
+//! Nodes, a leader and a state service as a model: views that lag, writes that are carried out
+//! late or twice, answers that are lost, processes that stand still, end and come back, leaders
+//! that change. At no revision have more jobs of a team been accepted and not ended than its
+//! bound allows.
+
+use basaltrail_admission::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+
+const NODES: usize = 3;
+const TEAM: &str = "t";
+const CLASSES: [&str; 2] = ["large", "small"];
+const BOUNDS: Bounds = Bounds { horizon_s: 100.0, jobs: 240, round_s: 10.0 };
+const GUARANTEED: f64 = 100.0;
+
+/// What is written, in the order of the revisions.
+#[derive(Clone)]
+enum Record {
+    Node { node: usize, incarnation: u64 },
+    Allotment(Allotment),
+    Job { id: u64, acceptance: Acceptance },
+}
+
+/// A transaction on its way.
+#[derive(Clone)]
+enum Write {
+    Accept { from: (usize, u64), id: u64, ticket: Ticket, class: &'static str },
+    Allot { leader: u64, grant: Grant },
+}
+
+struct Process {
+    incarnation: u64,
+    view: View,
+    gate: Gate,
+    /// How much of the log it has read.
+    read: usize,
+    frozen_until: u64,
+    /// Since when it has watched: what was accepted before and has ended is not known to it.
+    began: usize,
+}
+
+struct Model {
+    rng: SmallRng,
+    t: u64,
+    log: Vec<Record>,
+    stamps: BTreeMap<String, u64>,
+    nodes: Vec<Process>,
+    leader: usize,
+    leader_stamp: u64,
+    planner: Planner,
+    writes: Vec<(u64, Write, bool)>,
+    jobs: BTreeMap<u64, Acceptance>,
+    next_job: u64,
+    next_plan: u64,
+    accepted: u64,
+    /// No job ends until then.
+    stalled_until: u64,
+    /// The most that were accepted and not ended.
+    most: usize,
+    flood: Option<usize>,
+    /// Whether acceptances are conditional on the allotment's stamp.
+    fenced: bool,
+}
+
+fn name(node: usize) -> String {
+    format!("n{node}")
+}
+
+fn team(classes: Vec<ClassLoad>) -> TeamLoad {
+    TeamLoad {
+        team: TEAM.into(),
+        guaranteed: GUARANTEED,
+        limit: 200.0,
+        share: 1.0,
+        served: GUARANTEED,
+        classes,
+    }
+}
+
+fn demand(class: &str) -> Demand {
+    let (cpus, run_s) = if class == "large" { (2.0, 40.0) } else { (1.0, 5.0) };
+    Demand { team: TEAM.into(), class: class.into(), cpus, run_s: Some(run_s) }
+}
+
+impl Model {
+    fn new(seed: u64, fenced: bool) -> Self {
+        let process = |node: usize| Process {
+            incarnation: 1,
+            view: View::default(),
+            gate: Gate::new(&name(node), 1, Mode::Allotted),
+            read: 0,
+            frozen_until: 0,
+            began: 0,
+        };
+        let mut model = Model {
+            rng: SmallRng::seed_from_u64(seed),
+            t: 0,
+            log: Vec::new(),
+            stamps: BTreeMap::new(),
+            nodes: (0..NODES).map(process).collect(),
+            leader: 0,
+            leader_stamp: 1,
+            planner: Planner::default(),
+            writes: Vec::new(),
+            jobs: BTreeMap::new(),
+            next_job: 0,
+            next_plan: 0,
+            accepted: 0,
+            stalled_until: 0,
+            most: 0,
+            flood: None,
+            fenced,
+        };
+        for node in 0..NODES {
+            model.log.push(Record::Node { node, incarnation: 1 });
+        }
+        model
+    }
+
+    /// Served and guaranteed are always the same here, and so is the bound. Nobody asks for a
+    /// class that is not named, so the least share of those is never taken.
+    fn bound(&self) -> u32 {
+        let bound = Planner::bound(&BOUNDS, &team(Vec::new()), GUARANTEED, NODES).jobs;
+        bound - bound / 2 / (CLASSES.len() as u32 + 1)
+    }
+
+    /// What the leader knows: acceptances that it has read, and which jobs have ended.
+    fn load(&self) -> TeamLoad {
+        let read = &self.log[..self.nodes[self.leader].read];
+        let mut classes: Vec<ClassLoad> = CLASSES
+            .map(|class| ClassLoad { class: class.into(), waiting: Room::default() })
+            .to_vec();
+        for record in read {
+            let Record::Job { id, acceptance } = record else { continue };
+            if self.jobs.contains_key(id) {
+                let load = classes.iter_mut().find(|load| load.class == acceptance.demand.class);
+                let load = load.unwrap();
+                load.waiting = load.waiting.plus(acceptance.demand.cost(BOUNDS.horizon_s));
+            }
+        }
+        team(classes)
+    }
+
+    /// A node reads what is new.
+    fn read(&mut self, node: usize) {
+        let process = &mut self.nodes[node];
+        while process.read < self.log.len() {
+            let stamp = process.read as u64 + 1;
+            let earlier = &self.log[..process.read];
+            match &self.log[process.read] {
+                Record::Node { node, incarnation } => {
+                    process.view.learn_node(&name(*node), *incarnation, stamp);
+                }
+                Record::Allotment(allotment) => {
+                    let complete = process.read >= process.began;
+                    // Of what was read from a list, ended jobs are missing.
+                    let jobs = &self.jobs;
+                    let accepted = earlier.iter().filter_map(|record| match record {
+                        Record::Job { id, acceptance } if complete || jobs.contains_key(id) => {
+                            Some(acceptance.clone())
+                        }
+                        _ => None,
+                    });
+                    process.view.learn_allotment(allotment.clone(), stamp, accepted, complete);
+                }
+                Record::Job { id, acceptance } => {
+                    if process.read >= process.began || self.jobs.contains_key(id) {
+                        process.view.learn_acceptance(acceptance);
+                    }
+                }
+            }
+            process.read += 1;
+        }
+    }
+
+    fn send(&mut self, write: Write) {
+        let lost = self.rng.random_bool(0.1);
+        let late = self.rng.random_bool(0.2);
+        let delay = if late { self.rng.random_range(10..300) } else { self.rng.random_range(1..4) };
+        if self.rng.random_bool(0.05) {
+            // It is carried out twice; nobody hears of the second.
+            let copy = self.t + self.rng.random_range(5..300);
+            self.writes.push((copy, write.clone(), true));
+        }
+        if lost || late {
+            // Its sender gives up before that.
+            match &write {
+                Write::Accept { from, ticket, .. } if self.is_there(*from) => {
+                    self.nodes[from.0].gate.settle(ticket, Outcome::Used);
+                }
+                Write::Allot { leader, grant } if *leader == self.leader_stamp => {
+                    self.planner.written(grant, Written::Perhaps);
+                }
+                _ => {}
+            }
+        }
+        let gone = lost && !late && self.rng.random_bool(0.5);
+        if !gone {
+            self.writes.push((self.t + delay, write, lost || late));
+        }
+    }
+
+    fn is_there(&self, (node, incarnation): (usize, u64)) -> bool {
+        self.nodes[node].incarnation == incarnation
+    }
+
+    fn carry_out(&mut self, write: Write, unheard: bool) {
+        match write {
+            Write::Accept { from, id, ticket, class } => {
+                let (_, stamp) = ticket.condition().unwrap();
+                let key = name(from.0);
+                let moved = self.fenced && self.stamps.get(&key) != Some(&stamp);
+                if !moved && !self.jobs.contains_key(&id) {
+                    let stamp = self.log.len() as u64 + 1;
+                    let acceptance = Acceptance { node: key, demand: demand(class), stamp };
+                    self.log.push(Record::Job { id, acceptance: acceptance.clone() });
+                    self.jobs.insert(id, acceptance);
+                    self.accepted += 1;
+                }
+                if unheard || !self.is_there(from) {
+                    return;
+                }
+                let gate = &mut self.nodes[from.0].gate;
+                match moved {
+                    true => {
+                        gate.moved(&ticket);
+                        gate.settle(&ticket, Outcome::NotUsed);
+                    }
+                    false => gate.settle(&ticket, Outcome::Used),
+                }
+            }
+            Write::Allot { leader, grant } => {
+                let key = grant.allotment.node.clone();
+                let stamp = self.stamps.get(&key).copied().unwrap_or(0);
+                let done = leader == self.leader_stamp && stamp == grant.replaces;
+                if done {
+                    self.log.push(Record::Allotment(grant.allotment.clone()));
+                    self.stamps.insert(key, self.log.len() as u64);
+                }
+                if !unheard && leader == self.leader_stamp {
+                    let outcome = if done { Written::Done } else { Written::Not };
+                    self.planner.written(&grant, outcome);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.t += 1;
+        let due: Vec<(u64, Write, bool)> =
+            self.writes.extract_if(.., |(at, _, _)| *at <= self.t).collect();
+        for (_, write, unheard) in due {
+            self.carry_out(write, unheard);
+        }
+        for node in 0..NODES {
+            if self.t < self.nodes[node].frozen_until {
+                continue;
+            }
+            if self.rng.random_bool(0.4) {
+                self.read(node);
+            }
+            let flooded = self.flood.is_none_or(|flooded| flooded == node);
+            let asks = if flooded { 12 } else { 0 };
+            for _ in 0..asks {
+                let class = CLASSES[self.rng.random_range(0..CLASSES.len())];
+                let process = &mut self.nodes[node];
+                let Ok(ticket) = process.gate.admit(&process.view, demand(class)) else { continue };
+                if !process.gate.is_current(&process.view, &ticket) {
+                    continue;
+                }
+                self.next_job += 1;
+                let (from, id) = ((node, process.incarnation), self.next_job);
+                self.send(Write::Accept { from, id, ticket, class });
+            }
+        }
+        if self.t >= self.next_plan && self.t >= self.nodes[self.leader].frozen_until {
+            self.next_plan = self.t + 10;
+            let (load, view) = (self.load(), &self.nodes[self.leader].view);
+            for grant in self.planner.plan(view, &BOUNDS, &[load]) {
+                self.send(Write::Allot { leader: self.leader_stamp, grant });
+            }
+        }
+        // Some jobs end.
+        while self.t >= self.stalled_until && self.rng.random_bool(0.8) && !self.jobs.is_empty() {
+            let nth = self.rng.random_range(0..self.jobs.len());
+            let id = *self.jobs.keys().nth(nth).unwrap();
+            self.jobs.remove(&id);
+        }
+        let bound = self.bound();
+        self.most = self.most.max(self.jobs.len());
+        assert!(
+            self.jobs.len() as u32 <= bound,
+            "{} ms: {} jobs accepted, {bound} allowed",
+            self.t,
+            self.jobs.len()
+        );
+    }
+
+    fn trouble(&mut self) {
+        let node = self.rng.random_range(0..NODES);
+        match self.rng.random_range(0..6) {
+            0 => self.nodes[node].frozen_until = self.t + self.rng.random_range(5..80),
+            1 => {
+                // It ends and is back at once, knowing nothing but what a list tells.
+                let incarnation = self.nodes[node].incarnation + 1;
+                self.nodes[node] = Process {
+                    incarnation,
+                    view: View::default(),
+                    gate: Gate::new(&name(node), incarnation, Mode::Allotted),
+                    read: 0,
+                    frozen_until: 0,
+                    began: self.log.len(),
+                };
+                self.log.push(Record::Node { node, incarnation });
+                if node == self.leader {
+                    self.lead((node + 1) % NODES);
+                }
+            }
+            2 => self.lead(node),
+            3 | 4 => self.stalled_until = self.t + self.rng.random_range(50..200),
+            _ => self.flood = [None, Some(node)][self.rng.random_range(0..2)],
+        }
+    }
+
+    /// Another leader begins; what the one before sent is refused from now on. It reads what
+    /// was written before it acts.
+    fn lead(&mut self, node: usize) {
+        self.leader = node;
+        self.leader_stamp += 1;
+        self.planner = Planner::default();
+        self.read(node);
+    }
+}
+
+/// Jobs that were accepted in all, and the most that were at one time.
+fn play(seed: u64, fenced: bool) -> (u64, usize) {
+    let mut model = Model::new(seed, fenced);
+    for step in 0..2_000 {
+        model.step();
+        if step % 60 == 59 {
+            model.trouble();
+        }
+    }
+    (model.accepted, model.most)
+}
+
+#[test]
+fn no_more_is_accepted_than_the_bound_allows() {
+    let (mut accepted, mut most) = (0, 0);
+    for seed in 0..40 {
+        let (in_all, at_once) = play(seed, true);
+        (accepted, most) = (accepted + in_all, most.max(at_once));
+    }
+    println!("{accepted} accepted, {most} at once");
+    assert!(accepted > 10_000, "{accepted} jobs in all: too little was admitted");
+    assert!(most as u32 >= BOUNDS.jobs * 3 / 4, "{most}: the bound was never near");
+}
+
+/// The same model with acceptances that do not name their allotment's stamp.
+#[test]
+#[should_panic(expected = "jobs accepted")]
+fn without_the_stamp_more_is_accepted() {
+    for seed in 0..40 {
+        play(seed, false);
+    }
+}
--- /dev/null
+++ b/crates/basaltrail-admission/tests/planner.rs
@@ -0,0 +1,126 @@
+//! What a leader hands out.
+
+use basaltrail_admission::*;
+
+const BOUNDS: Bounds = Bounds { horizon_s: 100.0, jobs: 400, round_s: 10.0 };
+
+fn load(team: &str, classes: &[(&str, u32)]) -> TeamLoad {
+    let class = |(class, jobs): &(&str, u32)| {
+        let waiting = Room { jobs: *jobs, work: f64::from(*jobs) * 10.0 };
+        ClassLoad { class: (*class).into(), waiting }
+    };
+    TeamLoad {
+        team: team.into(),
+        guaranteed: 20.0,
+        limit: 40.0,
+        share: 0.5,
+        served: 20.0,
+        classes: classes.iter().map(class).collect(),
+    }
+}
+
+fn nodes(count: usize) -> View {
+    let mut view = View::default();
+    for node in 0..count {
+        view.learn_node(&format!("n{node}"), 1, node as u64 + 1);
+    }
+    view
+}
+
+fn sum(grants: &[Grant], team: &str, class: &str) -> Room {
+    grants
+        .iter()
+        .filter(|grant| grant.allotment.team == team)
+        .flat_map(|grant| &grant.allotment.classes)
+        .filter(|entry| entry.class == class)
+        .fold(Room::default(), |sum, entry| sum.plus(entry.room()))
+}
+
+/// The view takes the grants as written at these stamps.
+fn arrive(view: &mut View, grants: &[Grant], stamp: u64) {
+    for (n, grant) in grants.iter().enumerate() {
+        let allotment = grant.allotment.clone();
+        view.learn_allotment(allotment, stamp + n as u64, std::iter::empty(), true);
+    }
+}
+
+#[test]
+fn a_flood_of_one_team_or_class_leaves_the_others_theirs() {
+    let view = nodes(3);
+    let teams = [load("flood", &[("a", 5_000), ("b", 0)]), load("calm", &[("c", 0)])];
+    let grants = Planner::default().plan(&view, &BOUNDS, &teams);
+    assert_eq!(sum(&grants, "flood", "a").jobs, 0);
+    assert!(sum(&grants, "flood", "b").jobs >= 3, "the other class keeps its least share");
+    let alone = Planner::default().plan(&view, &BOUNDS, &teams[1..]);
+    assert_eq!(sum(&grants, "calm", "c").jobs, sum(&alone, "calm", "c").jobs);
+    assert!(sum(&grants, "calm", "c").jobs >= 30);
+}
+
+#[test]
+fn what_is_on_its_way_counts_until_the_view_has_it() {
+    let mut view = nodes(3);
+    let mut planner = Planner::default();
+    let team = load("t", &[("c", 0)]);
+    let first = planner.plan(&view, &BOUNDS, std::slice::from_ref(&team));
+    assert_eq!(first.len(), 3);
+    first.iter().for_each(|grant| planner.written(grant, Written::Done));
+    assert!(planner.plan(&view, &BOUNDS, std::slice::from_ref(&team)).is_empty());
+    arrive(&mut view, &first, 10);
+    assert!(planner.plan(&view, &BOUNDS, &[team]).is_empty(), "nothing has changed");
+}
+
+/// A write without an answer is written again: until then it may come late.
+#[test]
+fn a_write_without_an_answer_is_settled_by_the_next() {
+    let view = nodes(2);
+    let mut planner = Planner::default();
+    let team = [load("t", &[("c", 0)])];
+    let first = planner.plan(&view, &BOUNDS, &team);
+    planner.written(&first[0], Written::Perhaps);
+    planner.written(&first[1], Written::Not);
+    let second = planner.plan(&view, &BOUNDS, &team);
+    assert_eq!(second.len(), 2);
+    let bound = Planner::bound(&BOUNDS, &team[0], 20.0, 2).jobs;
+    let both = sum(&first[..1], "t", "c").plus(sum(&second, "t", "c")).jobs;
+    assert!(both <= bound, "{both} of {bound}");
+}
+
+#[test]
+fn shares_follow_what_nodes_accept_and_none_goes_without() {
+    let mut view = nodes(3);
+    let mut planner = Planner::default();
+    let team = [load("t", &[("c", 0)])];
+    let mut stamp = 10;
+    let mut grants = planner.plan(&view, &BOUNDS, &team);
+    for _ in 0..8 {
+        grants.iter().for_each(|grant| planner.written(grant, Written::Done));
+        arrive(&mut view, &grants, stamp);
+        stamp += 100;
+        // All of it is used at one node, and has ended by the next plan.
+        let used = view.held("t", "n1").unwrap().unspent(0).jobs;
+        for n in 0..u64::from(used) {
+            let demand =
+                Demand { team: "t".into(), class: "c".into(), cpus: 1.0, run_s: Some(1.0) };
+            let stamp = stamp - 50 + n % 50;
+            view.learn_acceptance(&Acceptance { node: "n1".into(), demand, stamp });
+        }
+        grants = planner.plan(&view, &BOUNDS, &team);
+    }
+    let has = |node: &str| view.held("t", node).unwrap().allotment.classes[0].jobs;
+    assert!(has("n1") >= 2 * has("n0"), "{} and {}", has("n1"), has("n0"));
+    assert!(has("n0") >= 1 && has("n2") >= 1);
+}
+
+#[test]
+fn a_new_process_gets_an_allotment_of_its_own() {
+    let mut view = nodes(2);
+    let mut planner = Planner::default();
+    let team = [load("t", &[("c", 0)])];
+    let first = planner.plan(&view, &BOUNDS, &team);
+    first.iter().for_each(|grant| planner.written(grant, Written::Done));
+    arrive(&mut view, &first, 10);
+    view.learn_node("n1", 2, 50);
+    let second = planner.plan(&view, &BOUNDS, &team);
+    assert_eq!(second.len(), 1);
+    assert_eq!((second[0].allotment.incarnation, second[0].replaces), (2, 11));
+}
--- a/crates/basaltrail-core/src/calls.rs
+++ b/crates/basaltrail-core/src/calls.rs
@@ -6,28 +6,85 @@
 use crate::jobs_view::WatchKind;
 use crate::leadership::PendingWrite;
 use crate::model::*;
+use crate::records::{ACTIVE, ADMISSION};
 use crate::requests::{Ask, Confirming, NewJob};
+use basaltrail_admission::Grant;
 use std::collections::HashMap;
 
+/// What is listed, one after the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListPart {
+    Jobs,
+    Admission,
+}
+
+impl ListPart {
+    /// The keys of the part.
+    pub fn prefix(self) -> &'static str {
+        match self {
+            ListPart::Jobs => ACTIVE,
+            ListPart::Admission => ADMISSION,
+        }
+    }
+}
+
 /// What an answer is for.
 pub enum Purpose {
     Election(Call),
-    JobsList { after: Option<String>, sent: Ms },
-    JobsWatch { sent: Ms, kind: WatchKind },
+    JobsList {
+        part: ListPart,
+        after: Option<String>,
+        sent: Ms,
+    },
+    JobsWatch {
+        sent: Ms,
+        kind: WatchKind,
+    },
     Submit(Vec<NewJob>),
     Check(Vec<Confirming>),
-    ReadActive { job: JobId, asks: Vec<Ask> },
-    ReadFinal { job: JobId, asks: Vec<Ask> },
-    Cancel { job: JobId, asks: Vec<Ask> },
+    ReadActive {
+        job: JobId,
+        asks: Vec<Ask>,
+    },
+    ReadFinal {
+        job: JobId,
+        asks: Vec<Ask>,
+    },
+    Cancel {
+        job: JobId,
+        asks: Vec<Ask>,
+    },
     TypesKept,
     TypesPut,
     Types,
-    Load { token: Token },
-    PendingWrite { token: Token, flush: Box<PendingWrite> },
-    Refresh { token: Token, key: String },
-    Rent { token: Token, requisition: String },
-    Release { token: Token, machines: Vec<MachineId> },
-    List { token: Token },
+    Load {
+        token: Token,
+    },
+    PendingWrite {
+        token: Token,
+        flush: Box<PendingWrite>,
+    },
+    Refresh {
+        token: Token,
+        key: String,
+    },
+    /// This process tells that it is there.
+    Announce,
+    Allot {
+        token: Token,
+        grants: Vec<Grant>,
+    },
+    Rent {
+        token: Token,
+        requisition: String,
+    },
+    Release {
+        token: Token,
+        machines: Vec<MachineId>,
+    },
+    List {
+        token: Token,
+    },
 }
 
 #[derive(Default)]
--- a/crates/basaltrail-core/src/election.rs
+++ b/crates/basaltrail-core/src/election.rs
@@ -53,6 +53,8 @@
 pub struct Election {
     node: String,
     incarnation: u64,
+    /// Whether it hands out allotments while it leads.
+    allots: bool,
     ttl: Ms,
     right: Ms,
     view: Option<View>,
@@ -71,10 +73,11 @@
 }
 
 impl Election {
-    pub fn new(node: &str, incarnation: u64, ttl: Ms, right: Ms) -> Self {
+    pub fn new(node: &str, incarnation: u64, allots: bool, ttl: Ms, right: Ms) -> Self {
         Election {
             node: node.into(),
             incarnation,
+            allots,
             ttl,
             right,
             view: None,
@@ -115,6 +118,11 @@
         self.view.as_ref()?.holder.as_ref().map(|h| h.record.node.as_str())
     }
 
+    /// Whether the leader that was read last hands out allotments.
+    pub fn leader_allots(&self) -> Option<bool> {
+        self.view.as_ref()?.holder.as_ref().map(|h| h.record.allots)
+    }
+
     /// The last term that this node knows of, and the revision at which it was read.
     pub fn seen(&self) -> (Token, u64) {
         self.view.as_ref().map_or((Token(0), 0), |v| (v.term, v.revision))
@@ -308,7 +316,12 @@
         let (loan, granted) = self.pending.take()?;
         let v = self.view.as_ref()?;
         let token = Token(v.term.0 + 1);
-        let record = LeaderRecord { node: self.node.clone(), incarnation: self.incarnation, token };
+        let record = LeaderRecord {
+            node: self.node.clone(),
+            incarnation: self.incarnation,
+            token,
+            allots: self.allots,
+        };
         let op = StateOp::Txn {
             conds: vec![(LEADER.into(), 0), (TERM.into(), v.term_stamp)],
             puts: vec![
--- a/crates/basaltrail-core/src/fairness.rs
+++ b/crates/basaltrail-core/src/fairness.rs
@@ -46,8 +46,7 @@
 
     /// A team's share of the fleet, whether it uses it or not.
     pub fn quota(settings: &Settings, team: usize, fleet_cpus: f64) -> f64 {
-        let sum: f64 = (0..settings.teams.len()).map(|t| settings.weight(t)).sum();
-        fleet_cpus * settings.weight(team) / sum.max(1e-9)
+        fleet_cpus * settings.weight_share(team)
     }
 
     /// Accrues the time since the last call.
--- a/crates/basaltrail-core/src/io.rs
+++ b/crates/basaltrail-core/src/io.rs
@@ -1,5 +1,6 @@
 //! What goes into the core and what comes out of it.
 
+use crate::limits::LimitsReport;
 use crate::model::*;
 
 #[derive(Clone, Debug, PartialEq)]
@@ -109,6 +110,10 @@
         req: ReqId,
         job: JobId,
     },
+    /// An operator asks for limits, use and allotments.
+    Inspect {
+        req: ReqId,
+    },
     Checkin {
         req: ReqId,
         report: Box<Report>,
@@ -150,6 +155,7 @@
         token: Token,
         orders: Vec<Order>,
     },
+    Limits(Box<LimitsReport>),
     /// Not entitled; the node that may be, if one is known.
     Elsewhere {
         leader: Option<String>,
--- a/crates/basaltrail-core/src/jobs.rs
+++ b/crates/basaltrail-core/src/jobs.rs
@@ -4,6 +4,7 @@
 use crate::health::JobHealth;
 use crate::model::*;
 use crate::records::*;
+use basaltrail_admission::{Acceptance, Allotment, View};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
@@ -13,6 +14,15 @@
     pub stamp: u64,
     pub at: WallMs,
     pub spec: Arc<JobSpec>,
+    /// The node that accepted it out of its allotment.
+    pub by: Option<String>,
+}
+
+impl Active {
+    fn acceptance(&self) -> Option<Acceptance> {
+        let node = self.by.clone()?;
+        Some(Acceptance { node, demand: self.spec.demand(), stamp: self.stamp })
+    }
 }
 
 /// What this node knows of jobs. Ends never change, so they may be told from here;
@@ -22,6 +32,8 @@
     finals: HashMap<JobId, Final>,
     order: VecDeque<JobId>,
     keep: usize,
+    /// Allotments, and what was accepted under them.
+    pub admission: View,
     /// Jobs whose entry changed since the leader last looked.
     pub changed: BTreeSet<JobId>,
 }
@@ -33,6 +45,7 @@
             finals: HashMap::new(),
             order: VecDeque::new(),
             keep,
+            admission: View::default(),
             changed: BTreeSet::new(),
         }
     }
@@ -48,10 +61,30 @@
         if self.active.get(&job).is_some_and(|a| a.stamp >= stamp) {
             return;
         }
-        self.active.insert(job, Active { stamp, at: record.at, spec: Arc::new(record.spec) });
+        let JobRecord { at, spec, by } = record;
+        let active = Active { stamp, at, spec: Arc::new(spec), by };
+        if let Some(acceptance) = active.acceptance() {
+            self.admission.learn_acceptance(&acceptance);
+        }
+        self.active.insert(job, active);
         self.changed.insert(job);
     }
 
+    /// An allotment was read, by a watch or from a list: a list does not tell of the jobs that
+    /// were accepted under it and have ended.
+    pub fn put_allotment(&mut self, allotment: Allotment, stamp: u64, complete: bool) {
+        let Allotment { team, node, .. } = &allotment;
+        let own = |job: &&Active| job.by.as_ref() == Some(node) && job.spec.team == *team;
+        let since: Vec<Acceptance> = self
+            .active
+            .values()
+            .filter(|job| job.stamp > stamp)
+            .filter(own)
+            .filter_map(Active::acceptance)
+            .collect();
+        self.admission.learn_allotment(allotment, stamp, since.into_iter(), complete);
+    }
+
     pub fn put_final(&mut self, job: JobId, end: Final) {
         self.active.remove(&job);
         self.changed.insert(job);
--- a/crates/basaltrail-core/src/leadership/mod.rs
+++ b/crates/basaltrail-core/src/leadership/mod.rs
@@ -17,7 +17,9 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
+mod allotting;
 mod checkin;
+mod class_shares;
 mod guarantee;
 mod listing;
 mod placing;
@@ -251,6 +253,8 @@
     reach: HashMap<JobId, f64>,
     /// The largest service of each class of late.
     shapes: BTreeMap<String, standing::Shape>,
+    /// What nodes may accept.
+    pub allotting: allotting::Allotting,
     guarantee_waits: guarantee::GuaranteeWaits,
     rental: Rental,
     returned: Recent,
@@ -315,6 +319,7 @@
             reserved: BTreeMap::new(),
             reach: HashMap::new(),
             shapes: BTreeMap::new(),
+            allotting: allotting::Allotting::new(ctx.now),
             guarantee_waits: guarantee::GuaranteeWaits::default(),
             rental: Rental::default(),
             returned: Recent::new(most_returned(ctx.cfg)),
@@ -368,12 +373,16 @@
             self.ledger_due = true;
             self.note_preferred_zone();
             self.log_round(ctx, calls);
+            self.plan_allotments(ctx, calls);
             self.changed = true;
         }
         if (self.changed || ctx.now >= self.wake_at) && ctx.entitled && ctx.view_is_fresh {
             self.place(ctx, calls, rng);
         }
         self.flush(ctx, calls);
+        if ctx.entitled {
+            self.allotting.send(ctx.cfg, ctx.now, (self.token, self.stamp), calls);
+        }
         self.cloud(ctx, calls);
     }
 
--- a/crates/basaltrail-core/src/leadership/placing.rs
+++ b/crates/basaltrail-core/src/leadership/placing.rs
@@ -54,7 +54,7 @@
     }
 
     /// (cpus, gpus) per team that may be in use anywhere.
-    fn usage(&self, ctx: &Context) -> Vec<(f64, f64)> {
+    pub(super) fn usage(&self, ctx: &Context) -> Vec<(f64, f64)> {
         let mut used = vec![(0.0, 0.0); ctx.cfg.teams.len()];
         for m in self.machines.values() {
             let unsure = !m.reconciled || m.entries.values().any(|e| e.holds() && e.need.is_none());
@@ -261,6 +261,18 @@
                 waiting[team].retain(|j| *j != id);
             }
         }
+        for (id, tasks) in self.classes_behind(ctx, &waiting) {
+            let mut left = tasks;
+            while left > 0 && self.grant_one(ctx, id, 1, &mut rooms, &mut used, rng) {
+                left -= 1;
+            }
+            if self.jobs.get(&id).is_none_or(|job| job.pending() == 0) {
+                waiting.iter_mut().for_each(|ids| ids.retain(|other| *other != id));
+            }
+            if left > 0 {
+                pass.unbegun.push(id);
+            }
+        }
         pass.pressing = pressing.into_iter().map(|(_, id)| id).collect();
         pass.unbegun.append(&mut tries);
         pass.waiting.clone_from(&waiting);
--- a/crates/basaltrail-core/src/leadership/placing_tests.rs
+++ b/crates/basaltrail-core/src/leadership/placing_tests.rs
@@ -20,7 +20,7 @@
         ..settings()
     };
     let mut table = Table::new(10);
-    table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(100, true) });
+    table.put_active(JobId(1), 1, JobRecord::new(0, a_job(100, true)));
     let ctx = Context {
         cfg: &cfg,
         types: &[],
--- a/crates/basaltrail-core/src/leadership/preempting_tests.rs
+++ b/crates/basaltrail-core/src/leadership/preempting_tests.rs
@@ -70,8 +70,8 @@
     };
     let (cfg, types) = (Settings { teams: vec![team], ..settings() }, [a_type()]);
     let mut table = Table::new(10);
-    table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(99, true) });
-    table.put_active(JobId(2), 2, JobRecord { at: 0, spec: service.clone() });
+    table.put_active(JobId(1), 1, JobRecord::new(0, a_job(99, true)));
+    table.put_active(JobId(2), 2, JobRecord::new(0, service.clone()));
     let now = 60_000;
     let ctx = Context {
         cfg: &cfg,
--- a/crates/basaltrail-core/src/leadership/renting_tests.rs
+++ b/crates/basaltrail-core/src/leadership/renting_tests.rs
@@ -12,7 +12,7 @@
     let spec = a_job(9, false);
     let types = [a_type()];
     let mut table = Table::new(10);
-    table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
+    table.put_active(JobId(1), 1, JobRecord::new(0, spec));
     let ctx = Context {
         cfg: &cfg,
         types: &types,
@@ -47,7 +47,7 @@
     let spec = a_job(100_000, true);
     let types = [a_type()];
     let mut table = Table::new(10);
-    table.put_active(JobId(1), 1, JobRecord { at: 0, spec });
+    table.put_active(JobId(1), 1, JobRecord::new(0, spec));
     let ctx = Context {
         cfg: &cfg,
         types: &types,
@@ -71,7 +71,7 @@
     let cfg = Settings { teams: vec![team], ..settings() };
     let types = [a_type()];
     let mut table = Table::new(10);
-    table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
+    table.put_active(JobId(1), 1, JobRecord::new(0, a_job(9, true)));
     let ctx = Context {
         cfg: &cfg,
         types: &types,
--- a/crates/basaltrail-core/src/leadership/standing_tests.rs
+++ b/crates/basaltrail-core/src/leadership/standing_tests.rs
@@ -25,7 +25,7 @@
         let mut table = Table::new(10);
         for (i, spec) in jobs.iter().enumerate() {
             let id = i as u64 + 1;
-            table.put_active(JobId(id), id + 10, JobRecord { at: 0, spec: spec.clone() });
+            table.put_active(JobId(id), id + 10, JobRecord::new(0, spec.clone()));
         }
         let cfg = Settings { teams: vec![team(guarantee)], ..settings() };
         Bench { cfg, types: vec![a_type()], table }
--- a/crates/basaltrail-core/src/leadership/takeover_tests.rs
+++ b/crates/basaltrail-core/src/leadership/takeover_tests.rs
@@ -10,9 +10,9 @@
     let team = Team { name: "t".into(), cpus: 8.0, cpus_max: inf, gpus: 0.0, gpus_max: inf };
     let cfg = Settings { teams: vec![team], ..settings() };
     let mut table = Table::new(10);
-    table.put_active(JobId(1), 1, JobRecord { at: 0, spec: a_job(9, true) });
+    table.put_active(JobId(1), 1, JobRecord::new(0, a_job(9, true)));
     let gone = JobSpec { team: "gone".into(), ..a_job(9, true) };
-    table.put_active(JobId(2), 2, JobRecord { at: 0, spec: gone });
+    table.put_active(JobId(2), 2, JobRecord::new(0, gone));
     let ctx = Context {
         cfg: &cfg,
         types: &[],
--- a/crates/basaltrail-core/src/lease_renewal_tests.rs
+++ b/crates/basaltrail-core/src/lease_renewal_tests.rs
@@ -8,7 +8,7 @@
 
 fn table() -> Table {
     let mut table = Table::new(100);
-    table.put_active(ACTIVE, 1, JobRecord { at: 0, spec: a_job(4, true) });
+    table.put_active(ACTIVE, 1, JobRecord::new(0, a_job(4, true)));
     table.put_final(CANCELLED, Final::Cancelled);
     table
 }
--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod jobs_view;
 pub mod leadership;
 pub mod lease_renewal;
+pub mod limits;
 pub mod model;
 pub mod node;
 pub mod placement;
@@ -21,7 +22,8 @@
 pub mod requests;
 pub mod settings;
 
+pub use basaltrail_admission as admission;
 pub use io::*;
 pub use model::*;
 pub use node::Node;
-pub use settings::{Objective, Policy, Settings, Team};
+pub use settings::{AdmissionPolicy, Objective, Policy, Settings, Team};
--- a/crates/basaltrail-core/src/model.rs
+++ b/crates/basaltrail-core/src/model.rs
@@ -1,5 +1,6 @@
 //! The terms of the field: jobs, tasks, attempts, machines, reports, orders.
 
+use basaltrail_admission::Demand;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
@@ -122,6 +123,16 @@
         self.kind == JobKind::Service
     }
 
+    /// What its submission asks of an allotment.
+    pub fn demand(&self) -> Demand {
+        Demand {
+            team: self.team.clone(),
+            class: self.class.clone(),
+            cpus: f64::from(self.tasks) * self.cpus,
+            run_s: (!self.is_service()).then_some(self.estimate_s),
+        }
+    }
+
     /// Whether its tasks may be placed on machines of this type, zone and kind (PROTOCOL:
     /// `formats`, `room`, `remainders`). Resources and the spread over zones are not considered.
     pub fn permits(&self, machine_type: &str, zone: &str, spot: bool) -> bool {
--- /dev/null
+++ b/crates/basaltrail-core/src/node/admission.rs
@@ -0,0 +1,231 @@
+//! What this node may accept: its allotments, and submissions that wait for the next one.
+
+use super::*;
+use basaltrail_admission::{Allotment, Gate, Mode, Outcome, Reason, Refusal, Ticket};
+
+/// The longest that somebody is told to wait, in seconds; PROTOCOL's users follow no more.
+const RETRY_MOST_S: u32 = 30;
+
+/// This node's side of admission.
+pub(super) struct NodeAdmission {
+    gate: Gate,
+    node: String,
+    incarnation: u64,
+    /// A record of this process is on its way.
+    announcing: bool,
+    next_announcement: Ms,
+    /// Submissions told to come back since the last line about it, by reason.
+    refused: BTreeMap<Reason, u64>,
+    /// The same by team, since the process began.
+    refused_by_team: Vec<u64>,
+    next_log: Ms,
+    /// Records that could not be read are logged once each.
+    unreadable: BTreeSet<String>,
+}
+
+impl NodeAdmission {
+    /// Until a leader is seen, a node goes by its own policy: where allotments are to bind, it
+    /// accepts nothing before it has one.
+    pub(super) fn new(cfg: &Settings) -> Self {
+        let mode = match cfg.policy.admission {
+            Some(_) => Mode::Allotted,
+            None => Mode::Open,
+        };
+        NodeAdmission {
+            gate: Gate::new(&cfg.node, cfg.incarnation, mode),
+            node: cfg.node.clone(),
+            incarnation: cfg.incarnation,
+            announcing: false,
+            next_announcement: 0,
+            refused: BTreeMap::new(),
+            refused_by_team: vec![0; cfg.teams.len()],
+            next_log: 0,
+            unreadable: BTreeSet::new(),
+        }
+    }
+
+    pub(super) fn binds(&self) -> bool {
+        self.gate.mode() == Mode::Allotted
+    }
+
+    pub(super) fn admit(&mut self, table: &Table, spec: &JobSpec) -> Result<Ticket, Refusal> {
+        self.gate.admit(&table.admission, spec.demand())
+    }
+
+    pub(super) fn is_current(&self, table: &Table, new: &NewJob) -> bool {
+        self.gate.is_current(&table.admission, &new.ticket)
+    }
+
+    /// What must still be so when the job is accepted.
+    pub(super) fn condition(&self, new: &NewJob) -> Option<(String, u64)> {
+        let (team, stamp) = new.ticket.condition()?;
+        Some((allotment_key(team, &self.node), stamp))
+    }
+
+    pub(super) fn settle(&mut self, new: &NewJob, outcome: Outcome) {
+        self.gate.settle(&new.ticket, outcome);
+    }
+
+    /// Whether an acceptance failed since its allotment has moved on.
+    pub(super) fn conflicts(&mut self, new: &NewJob, failed: &[String]) -> bool {
+        let moved = self.condition(new).is_some_and(|(key, _)| failed.contains(&key));
+        if moved {
+            self.gate.moved(&new.ticket);
+        }
+        moved
+    }
+
+    /// When the user of a submission is told to come back. Those who are refused together do
+    /// not return together.
+    pub(super) fn refuse(&mut self, rng: &mut SmallRng, refusal: Refusal) -> Answer {
+        let Refusal { reason, retry_after_s } = refusal;
+        *self.refused.entry(reason).or_default() += 1;
+        let spread = rng.random_range(0..=retry_after_s / 2 + 1);
+        let retry_s = (retry_after_s + spread).clamp(1, RETRY_MOST_S);
+        let why = match reason {
+            Reason::Full => "the team's backlog is full",
+            Reason::Moved => "its allotment moves",
+            Reason::NoAllotment => "no allotment yet",
+        };
+        Answer::Busy { retry_s, why }
+    }
+
+    /// Whether this process has to write that it is there.
+    fn announcement_due(&self, table: &Table, now: Ms) -> bool {
+        let known = table.admission.presence(&self.node);
+        let told = known.is_some_and(|(incarnation, _)| incarnation == self.incarnation);
+        self.binds() && !told && !self.announcing && now >= self.next_announcement
+    }
+
+    /// Its record was written, or was not: the watch tells.
+    pub(super) fn announced(&mut self, now: Ms, cfg: &Settings) {
+        self.announcing = false;
+        self.next_announcement = now + cfg.report_ms / 4;
+    }
+
+    pub(super) fn refused_of(&self, team: usize) -> u64 {
+        self.refused_by_team.get(team).copied().unwrap_or(0)
+    }
+
+    /// What is left of a team's allotment here, by entry.
+    pub(super) fn left(&self, table: &Table, team: &str) -> Vec<basaltrail_admission::Room> {
+        self.gate.left(&table.admission, team)
+    }
+}
+
+impl Node {
+    /// Whether allotments bind is the leader's to say; a node of an earlier version that leads
+    /// hands out none.
+    pub(super) fn follow_admission(&mut self) {
+        if let Some(allots) = self.election.leader_allots() {
+            let mode = if allots { Mode::Allotted } else { Mode::Open };
+            if mode != self.admission.gate.mode() {
+                self.admission.gate.set_mode(mode);
+                if allots {
+                    // What was written of allotments before is listed only where they bind.
+                    self.jobs_view.compacted();
+                }
+                self.calls.log(Level::Info, "admission_mode", format!("allotted={allots}"));
+            }
+        }
+        if self.jobs_view.is_loaded()
+            && self.admission.announcement_due(&self.table, self.now)
+            && self.calls.pay(self.now, Class::Request)
+            && self.calls.writes.take(self.now, 1.0, Class::Request)
+        {
+            self.announce();
+        }
+        self.log_refusals();
+    }
+
+    fn announce(&mut self) {
+        self.admission.announcing = true;
+        let NodeAdmission { node, incarnation, .. } = &self.admission;
+        let record = NodeRecord { node: node.clone(), incarnation: *incarnation };
+        // An earlier process of this name that is late changes nothing: the stamp has moved on.
+        let stamp = self.table.admission.presence(node).map_or(0, |(_, stamp)| stamp);
+        let key = node_key(node);
+        let op = StateOp::Txn {
+            conds: vec![(key.clone(), stamp)],
+            puts: vec![Put { key, value: encode(&record), loan: None }],
+            removes: Vec::new(),
+        };
+        self.calls.state(Purpose::Announce, op, self.cfg.leader_lease_ms() / 4);
+    }
+
+    /// Takes the record of a process or an allotment.
+    pub(super) fn apply_admission(&mut self, item: &Item, in_order: bool) {
+        let readable = if item.key.starts_with(&format!("{ADMISSION}n/")) {
+            decode::<NodeRecord>(&item.value).map(|record| {
+                self.table.admission.learn_node(&record.node, record.incarnation, item.stamp);
+            })
+        } else {
+            let allotment = decode::<Allotment>(&item.value).filter(Allotment::is_sound);
+            allotment.map(|allotment| self.table.put_allotment(allotment, item.stamp, in_order))
+        };
+        if readable.is_none() {
+            // Nothing is accepted on it: whatever stood there before has another stamp.
+            self.lose_allotment(&item.key, item.stamp);
+        }
+    }
+
+    fn lose_allotment(&mut self, key: &str, stamp: u64) {
+        for team in &self.cfg.teams {
+            for node in self.table.admission.node_names() {
+                if allotment_key(&team.name, &node) == key {
+                    self.table.admission.lose_allotment(&team.name, &node, stamp);
+                }
+            }
+        }
+        if self.admission.unreadable.len() < self.cfg.most_active_jobs()
+            && self.admission.unreadable.insert(key.to_string())
+        {
+            self.calls.log(Level::Error, "allotment_unreadable", format!("key={key}"));
+        }
+    }
+
+    /// Submissions whose allotment has moved on ask again; they wait for the next one for a
+    /// moment only.
+    pub(super) fn renew_moved(&mut self) {
+        for new in std::mem::take(&mut self.requests.moved) {
+            let NewJob { job, spec, asks, alone, ticket, waits_until } = new;
+            match self.admission.gate.renew(&self.table.admission, ticket.clone()) {
+                Ok(ticket) => {
+                    let new = NewJob { job, spec, asks, alone, ticket, waits_until };
+                    self.requests.submits.push(new);
+                }
+                Err(refusal) if refusal.reason == Reason::Moved && self.now < waits_until => {
+                    let new = NewJob { job, spec, asks, alone, ticket, waits_until };
+                    self.requests.moved.push(new);
+                }
+                Err(refusal) => {
+                    self.count_refusal(&spec.team);
+                    let refused = Some(NotTaken::Later(refusal));
+                    let asks = asks.into_iter().map(|ask| Ask { refused, ..ask }).collect();
+                    self.requests.check_again(job, asks);
+                }
+            }
+        }
+    }
+
+    pub(super) fn count_refusal(&mut self, team: &str) {
+        if let Some(team) = self.cfg.team(team) {
+            self.admission.refused_by_team[team] += 1;
+        }
+    }
+
+    /// One line a round about submissions that were told to come back.
+    fn log_refusals(&mut self) {
+        if self.now < self.admission.next_log {
+            return;
+        }
+        self.admission.next_log = self.now + (self.cfg.policy.round_s * 1000.0) as Ms;
+        let refused = std::mem::take(&mut self.admission.refused);
+        if refused.is_empty() {
+            return;
+        }
+        let counts: Vec<String> =
+            refused.iter().map(|(reason, count)| format!("{}={count}", reason.name())).collect();
+        self.calls.log(Level::Info, "submissions_refused", counts.join(" "));
+    }
+}
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -1,7 +1,7 @@
 //! One controller: the state machine that ties the parts together.
 
 use crate::budget::Class;
-use crate::calls::{Calls, Purpose};
+use crate::calls::{Calls, ListPart, Purpose};
 use crate::election::Election;
 use crate::io::*;
 use crate::jobs::Table;
@@ -10,12 +10,15 @@
 use crate::lease_renewal::AnswerCounters;
 use crate::model::*;
 use crate::records::*;
-use crate::requests::{impossible, Ask, Kind, NewJob, RequestQueue};
+use crate::requests::{impossible, Ask, Kind, NewJob, NotTaken, RequestQueue};
 use crate::settings::Settings;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+mod admission;
+mod inspect;
 mod replies;
 mod users;
 mod workers;
@@ -26,8 +29,7 @@
 const LEADER_PART: f64 = 0.5;
 /// Requests that may wait at once, per megabyte.
 const WAITING_PER_MB: f64 = 40.0;
-/// Active jobs and remembered ends, per megabyte.
-const ACTIVE_PER_MB: f64 = 100.0;
+/// Remembered ends, per megabyte.
 const ENDS_PER_MB: f64 = 1000.0;
 
 pub struct Node {
@@ -39,6 +41,7 @@
     election: Election,
     table: Table,
     requests: RequestQueue,
+    admission: admission::NodeAdmission,
     types: Vec<MachineType>,
     types_kept: bool,
     types_in_flight: bool,
@@ -70,9 +73,16 @@
             wall: 0,
             rng: SmallRng::seed_from_u64(seed),
             calls: Calls::default(),
-            election: Election::new(&cfg.node, cfg.incarnation, ttl, cfg.at_most(ttl)),
+            election: Election::new(
+                &cfg.node,
+                cfg.incarnation,
+                cfg.policy.admission.is_some(),
+                ttl,
+                cfg.at_most(ttl),
+            ),
             table: Table::new((cfg.memory_mb * ENDS_PER_MB).max(1000.0) as usize),
             requests: RequestQueue::default(),
+            admission: admission::NodeAdmission::new(&cfg),
             types: Vec::new(),
             types_kept: false,
             types_in_flight: false,
@@ -128,6 +138,7 @@
             Input::Submit { req, job, spec } => self.submit(req, job, spec),
             Input::Poll { req, job } => self.ask(req, job, Kind::Poll),
             Input::Cancel { req, job } => self.ask(req, job, Kind::Cancel),
+            Input::Inspect { req } => self.inspect(req),
             Input::Checkin { req, report } => self.checkin(req, &report),
             Input::State { op, reply } => self.state_reply(op, reply),
             Input::Cloud { op, reply } => self.cloud_reply(op, reply),
@@ -182,6 +193,7 @@
         self.read_jobs();
         self.catch_up();
         self.types_view();
+        self.follow_admission();
         self.flush_requests();
         let changed = std::mem::take(&mut self.table.changed);
         if !changed.is_empty() {
@@ -259,7 +271,7 @@
         }
         self.jobs_view.sent(WatchKind::Waiting);
         match call {
-            ViewCall::List => self.list_jobs(None, self.now),
+            ViewCall::List => self.list_jobs(ListPart::Jobs, None, self.now),
             ViewCall::Watch { after } => {
                 // Short enough that a watch that went dead costs little of `cancel_s`.
                 let wait_ms = self.cfg.watch_ms();
@@ -295,10 +307,11 @@
         }
     }
 
-    fn list_jobs(&mut self, after: Option<String>, sent: Ms) {
+    fn list_jobs(&mut self, part: ListPart, after: Option<String>, sent: Ms) {
         let patience = self.cfg.leader_lease_ms() / 2;
-        let op = StateOp::List { prefix: ACTIVE.into(), after: after.clone(), limit: 500 };
-        self.calls.state(Purpose::JobsList { after, sent }, op, patience);
+        let prefix = part.prefix().to_string();
+        let op = StateOp::List { prefix, after: after.clone(), limit: 500 };
+        self.calls.state(Purpose::JobsList { part, after, sent }, op, patience);
     }
 
     fn types_view(&mut self) {
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -2,9 +2,16 @@
 
 use super::*;
 use crate::requests::Confirming;
+use basaltrail_admission::Outcome;
 
 impl Node {
+    /// Takes a record that was read alone or from a list.
     pub(super) fn apply(&mut self, item: &Item) {
+        self.apply_from(item, false);
+    }
+
+    /// Takes a record; `in_order` says whether every change before it is known.
+    fn apply_from(&mut self, item: &Item, in_order: bool) {
         if let Some(job) = item.key.strip_prefix(ACTIVE).and_then(parse_job) {
             match decode::<JobRecord>(&item.value) {
                 Some(record) => self.table.put_active(job, item.stamp, record),
@@ -14,6 +21,8 @@
             if let Some(end) = decode(&item.value) {
                 self.table.put_final(job, end);
             }
+        } else if item.key.starts_with(ADMISSION) {
+            self.apply_admission(item, in_order);
         }
     }
 
@@ -35,7 +44,7 @@
                     self.calls.state(Purpose::Election(call), op, timeout);
                 }
             }
-            Purpose::JobsList { after, sent } => self.jobs_listed(after, sent, reply),
+            Purpose::JobsList { part, after, sent } => self.jobs_listed(part, after, sent, reply),
             Purpose::JobsWatch { sent, kind } => self.jobs_watched(kind, sent, reply),
             Purpose::Submit(batch) => self.submitted(batch, reply),
             Purpose::Check(jobs) => {
@@ -158,6 +167,15 @@
                     }
                 }
             }
+            Purpose::Announce => self.admission.announced(self.now, &self.cfg),
+            Purpose::Allot { token, grants } => {
+                let deposed = self.with_leadership(|leadership, _, _, _| {
+                    leadership.token == token && leadership.allotting.answer(&grants, &reply)
+                });
+                if deposed == Some(true) {
+                    self.election.step_down(self.now);
+                }
+            }
             Purpose::Refresh { token, key } => {
                 self.with_leadership(|leadership, _, _, _| {
                     if leadership.token == token {
@@ -207,7 +225,7 @@
 
     fn apply_event(&mut self, event: &Event) {
         match event {
-            Event::Put(item) => self.apply(item),
+            Event::Put(item) => self.apply_from(item, true),
             Event::Remove { key, stamp } => {
                 if let Some(job) = key.strip_prefix(ACTIVE).and_then(parse_job) {
                     self.table.remove_active(job, *stamp);
@@ -216,7 +234,13 @@
         }
     }
 
-    pub(super) fn jobs_listed(&mut self, after: Option<String>, sent: Ms, reply: StateReply) {
+    pub(super) fn jobs_listed(
+        &mut self,
+        part: ListPart,
+        after: Option<String>,
+        sent: Ms,
+        reply: StateReply,
+    ) {
         let StateReply::Rows { items, more, revision } = reply else {
             self.jobs_view.list_failed(self.now + self.cfg.report_ms / 4);
             return;
@@ -224,8 +248,26 @@
         for i in &items {
             self.apply(i);
         }
-        // Entries we hold in this stretch of keys that are not listed any more.
-        let from = after.as_deref().unwrap_or(ACTIVE);
+        if part == ListPart::Jobs {
+            self.forget_unlisted(&items, after.as_deref(), more, revision);
+        }
+        // The watch starts where the first page was read.
+        let first = self.jobs_view.page(revision);
+        if more {
+            return self.list_jobs(part, items.last().map(|i| i.key.clone()), sent);
+        }
+        if part == ListPart::Jobs && self.admission.binds() {
+            return self.list_jobs(ListPart::Admission, None, sent);
+        }
+        self.jobs_view.listed(sent);
+        let (active, took) = (self.table.active.len(), self.now - sent);
+        let detail = format!("revision={first} active={active} took_ms={took}");
+        self.calls.log(Level::Info, "jobs_listed", detail);
+    }
+
+    /// Entries that we hold in the stretch of keys of one page and that are not listed any more.
+    fn forget_unlisted(&mut self, items: &[Item], after: Option<&str>, more: bool, revision: u64) {
+        let from = after.unwrap_or(ACTIVE);
         let to = items.last().filter(|_| more).map(|i| i.key.as_str());
         let listed: std::collections::BTreeSet<&str> =
             items.iter().map(|i| i.key.as_str()).collect();
@@ -244,16 +286,6 @@
         for job in gone {
             self.table.remove_active(job, revision + 1);
         }
-        // The watch starts where the first page was read.
-        let first = self.jobs_view.page(revision);
-        if more {
-            self.list_jobs(items.last().map(|i| i.key.clone()), sent);
-            return;
-        }
-        self.jobs_view.listed(sent);
-        let (active, took) = (self.table.active.len(), self.now - sent);
-        let detail = format!("revision={first} active={active} took_ms={took}");
-        self.calls.log(Level::Info, "jobs_listed", detail);
     }
 
     pub(super) fn submitted(&mut self, batch: Vec<NewJob>, reply: StateReply) {
@@ -261,7 +293,8 @@
         match reply {
             StateReply::Committed { revision } => {
                 for new in batch {
-                    let record = JobRecord { at: self.wall, spec: *new.spec };
+                    self.admission.settle(&new, Outcome::Used);
+                    let record = self.record_of(&new);
                     self.table.put_active(new.job, revision, record);
                     for ask in new.asks {
                         self.requests.waiting = self.requests.waiting.saturating_sub(1);
@@ -274,7 +307,11 @@
                 for new in batch {
                     let keys = [active_key(new.job), final_key(new.job)];
                     if keys.iter().any(|k| failed.contains(k)) {
+                        self.admission.settle(&new, Outcome::NotUsed);
                         self.requests.reads.push((new.job, new.asks));
+                    } else if self.admission.conflicts(&new, &failed) {
+                        let waits_until = self.now + self.cfg.report_ms;
+                        self.requests.moved.push(NewJob { waits_until, ..new });
                     } else {
                         rest.push(new);
                     }
@@ -296,11 +333,14 @@
                         let detail = format!("key={}", active_key(new.job));
                         self.calls.log(Level::Error, "write_rejected", detail);
                     }
+                    self.admission.settle(&new, Outcome::NotUsed);
                     self.busy(new.asks, 1, "state service refused");
                 }
             }
             _ => {
                 for new in batch {
+                    // It may yet be carried out.
+                    self.admission.settle(&new, Outcome::Used);
                     self.busy(new.asks, 1, "not decided");
                 }
             }
--- a/crates/basaltrail-core/src/node/users.rs
+++ b/crates/basaltrail-core/src/node/users.rs
@@ -1,41 +1,23 @@
 //! Submissions, polls and cancels: what is sent for them and answered.
 
 use super::*;
+use basaltrail_admission::Outcome;
 
 impl Node {
     pub(super) fn flush_requests(&mut self) {
         let patience = self.cfg.leader_lease_ms() / 5;
+        self.renew_moved();
         // New jobs go out at once; those that come meanwhile go together next.
         if !self.requests.submits.is_empty() && self.requests.submits_in_flight < 2 {
             let n = self.requests.submits.len().min(self.cfg.txn_ops.max(1));
             if self.calls.writes.take(self.now, n as f64, Class::Request)
                 && self.calls.pay(self.now, Class::Request)
             {
-                let mut batch: Vec<NewJob> = Vec::new();
-                let mut bytes = 0;
-                let mut puts = Vec::new();
-                let mut conds = Vec::new();
-                while batch.len() < n && !self.requests.submits.is_empty() {
-                    let new = self.requests.submits.remove(0);
-                    let record = JobRecord { at: self.wall, spec: (*new.spec).clone() };
-                    let value = encode(&record);
-                    bytes += value.len();
-                    let alone = new.alone || batch.first().is_some_and(|b| b.alone);
-                    if (alone || bytes > 48 * 1024) && !batch.is_empty() {
-                        self.requests.submits.insert(0, new);
-                        break;
-                    }
-                    conds.push((active_key(new.job), 0));
-                    conds.push((final_key(new.job), 0));
-                    puts.push(Put { key: active_key(new.job), value, loan: None });
-                    batch.push(new);
-                }
-                self.requests.submits_in_flight += 1;
-                let op = StateOp::Txn { conds, puts, removes: Vec::new() };
-                self.calls.state(Purpose::Submit(batch), op, patience);
+                self.send_submissions(n);
             } else if self.requests.submits.len() > self.cfg.txn_ops.max(1) * 2 {
                 // More than can be written soon: say so now.
                 for new in std::mem::take(&mut self.requests.submits) {
+                    self.admission.settle(&new, Outcome::NotUsed);
                     self.busy(new.asks, 2, "too many submissions");
                 }
             }
@@ -69,6 +51,50 @@
         }
     }
 
+    /// Sends up to `most` submissions in one transaction, each on the condition of its allotment.
+    fn send_submissions(&mut self, most: usize) {
+        let mut batch: Vec<NewJob> = Vec::new();
+        let mut bytes = 0;
+        let mut puts = Vec::new();
+        let mut conds = Vec::new();
+        while batch.len() < most && !self.requests.submits.is_empty() {
+            let new = self.requests.submits.remove(0);
+            if !self.admission.is_current(&self.table, &new) {
+                self.requests.moved.push(NewJob { waits_until: self.now, ..new });
+                continue;
+            }
+            let value = encode(&self.record_of(&new));
+            bytes += value.len();
+            let alone = new.alone || batch.first().is_some_and(|b| b.alone);
+            if (alone || bytes > 48 * 1024) && !batch.is_empty() {
+                self.requests.submits.insert(0, new);
+                break;
+            }
+            conds.push((active_key(new.job), 0));
+            conds.push((final_key(new.job), 0));
+            if let Some(condition) = self.admission.condition(&new) {
+                if !conds.contains(&condition) {
+                    conds.push(condition);
+                }
+            }
+            puts.push(Put { key: active_key(new.job), value, loan: None });
+            batch.push(new);
+        }
+        if batch.is_empty() {
+            return;
+        }
+        self.requests.submits_in_flight += 1;
+        let op = StateOp::Txn { conds, puts, removes: Vec::new() };
+        let patience = self.cfg.leader_lease_ms() / 5;
+        self.calls.state(Purpose::Submit(batch), op, patience);
+    }
+
+    /// The record of a job that this node accepts now.
+    pub(super) fn record_of(&self, new: &NewJob) -> JobRecord {
+        let by = self.admission.condition(new).map(|_| self.cfg.node.clone());
+        JobRecord { at: self.wall, spec: (*new.spec).clone(), by }
+    }
+
     pub(super) fn busy(&mut self, asks: Vec<Ask>, retry_s: u32, why: &'static str) {
         for a in asks {
             self.requests.waiting = self.requests.waiting.saturating_sub(1);
@@ -95,7 +121,7 @@
         if self.too_many(req) {
             return;
         }
-        let ask = Ask { req, kind: Kind::Submit };
+        let ask = Ask::new(req, Kind::Submit);
         if self.table.active.contains_key(&job) {
             return self.requests.check(self.now, job, ask);
         }
@@ -103,20 +129,46 @@
             return self.calls.answer(req, Answer::Busy { retry_s: 1, why: "types unknown" });
         }
         if let Some(why) = impossible(&self.cfg, &self.types, &spec) {
-            return self.calls.answer(req, Answer::Impossible(why));
+            let refused = Some(NotTaken::Impossible(why));
+            return self.requests.check(self.now, job, Ask { refused, ..ask });
         }
-        let record = JobRecord { at: self.wall, spec: (*spec).clone() };
+        let by = Some(self.cfg.node.clone());
+        let record = JobRecord { at: self.wall, spec: (*spec).clone(), by };
         if encode(&record).len() > self.cfg.value_bytes {
-            return self.calls.answer(req, Answer::Invalid("the description is too long to keep"));
+            let refused = Some(NotTaken::Invalid("the description is too long to keep"));
+            return self.requests.check(self.now, job, Ask { refused, ..ask });
         }
-        let most = (self.cfg.memory_mb * ACTIVE_PER_MB).max(100.0) as usize;
-        if self.table.active.len() >= most {
+        if self.table.active.len() >= self.cfg.most_active_jobs() {
             return self.calls.answer(req, Answer::Busy { retry_s: 10, why: "too many jobs" });
         }
-        self.requests.waiting += 1;
-        match self.requests.submits.iter_mut().find(|n| n.job == job) {
-            Some(n) => n.asks.push(ask),
-            None => self.requests.submits.push(NewJob { job, spec, asks: vec![ask], alone: false }),
+        let waiting = self.requests.submits.iter_mut().chain(&mut self.requests.moved);
+        if let Some(new) = waiting.into_iter().find(|new| new.job == job) {
+            self.requests.waiting += 1;
+            return new.asks.push(ask);
+        }
+        match self.admission.admit(&self.table, &spec) {
+            Ok(ticket) => {
+                self.requests.waiting += 1;
+                let (asks, waits_until) = (vec![ask], self.now);
+                let new = NewJob { job, spec, asks, alone: false, ticket, waits_until };
+                self.requests.submits.push(new);
+            }
+            // It may be known all the same: then its user is told so.
+            Err(refusal) => {
+                self.count_refusal(&spec.team);
+                let refused = Some(NotTaken::Later(refusal));
+                self.requests.check(self.now, job, Ask { refused, ..ask });
+            }
+        }
+    }
+
+    /// What the user of a submission is told that is neither taken nor known.
+    fn not_taken(&mut self, refused: Option<NotTaken>) -> Answer {
+        match refused {
+            Some(NotTaken::Later(refusal)) => self.admission.refuse(&mut self.rng, refusal),
+            Some(NotTaken::Impossible(why)) => Answer::Impossible(why),
+            Some(NotTaken::Invalid(why)) => Answer::Invalid(why),
+            None => Answer::Busy { retry_s: 1, why: "not decided" },
         }
     }
 
@@ -129,7 +181,7 @@
         if self.too_many(req) {
             return;
         }
-        let ask = Ask { req, kind };
+        let ask = Ask::new(req, kind);
         if kind == Kind::Cancel {
             self.requests.waiting += 1;
             self.cancel(job, vec![ask]);
@@ -169,7 +221,7 @@
             self.requests.waiting = self.requests.waiting.saturating_sub(1);
             let answer = match (view, ask.kind) {
                 (Some(v), _) => v,
-                (None, Kind::Submit) => Answer::Busy { retry_s: 1, why: "not decided" },
+                (None, Kind::Submit) => self.not_taken(ask.refused),
                 (None, _) => Answer::NotFound,
             };
             self.calls.answer(ask.req, answer);
--- a/crates/basaltrail-core/src/records.rs
+++ b/crates/basaltrail-core/src/records.rs
@@ -11,6 +11,9 @@
 pub const JOBS: &str = "j/";
 pub const ACTIVE: &str = "j/a/";
 pub const FINAL: &str = "j/t/";
+/// Allotments and the processes that they are for: under the jobs' prefix, so that one watch tells
+/// of them and of the jobs in the order of their revisions.
+pub const ADMISSION: &str = "j/q/";
 pub const DONE: &str = "d/";
 pub const ROSTER: &str = "r/";
 pub const LEDGER: &str = "l/ledger";
@@ -24,6 +27,22 @@
     pub node: String,
     pub incarnation: u64,
     pub token: Token,
+    /// Whether it hands out allotments: nodes then accept nothing without one.
+    #[serde(rename = "allots", default, skip_serializing_if = "is_false")]
+    pub allots: bool,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// The process that runs as a node now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    #[serde(rename = "n")]
+    pub node: String,
+    #[serde(rename = "i")]
+    pub incarnation: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -31,6 +50,16 @@
     /// Time of day of the first acceptance.
     pub at: WallMs,
     pub spec: JobSpec,
+    /// The node that accepted it out of its allotment.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub by: Option<String>,
+}
+
+impl JobRecord {
+    /// A job that no allotment was needed for.
+    pub fn new(at: WallMs, spec: JobSpec) -> Self {
+        JobRecord { at, spec, by: None }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,6 +96,28 @@
     format!("{FINAL}{job}")
 }
 
+/// Where a process tells that it is there.
+pub fn node_key(node: &str) -> String {
+    format!("{ADMISSION}n/{}", key_part(node))
+}
+
+/// Where a team's allotment at a node is kept.
+pub fn allotment_key(team: &str, node: &str) -> String {
+    format!("{ADMISSION}a/{}/{}", key_part(team), key_part(node))
+}
+
+/// A name as a part of a key, which takes neither spaces nor more than 200 bytes in all: the
+/// letters that may stand there, and a sum over all of the name.
+fn key_part(name: &str) -> String {
+    const SHOWN: usize = 40;
+    // FNV-1a, 64 bits: the same on every version and machine.
+    let mix = |sum: u64, byte: u8| (sum ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    let sum = name.bytes().fold(0xcbf2_9ce4_8422_2325, mix);
+    let plain = |c: &char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_');
+    let shown: String = name.chars().filter(plain).take(SHOWN).collect();
+    format!("{shown}.{sum:016x}")
+}
+
 pub fn done_key(job: JobId, part: u32) -> String {
     format!("{DONE}{job}/{part}")
 }
--- a/crates/basaltrail-core/src/requests.rs
+++ b/crates/basaltrail-core/src/requests.rs
@@ -8,6 +8,7 @@
 use crate::model::*;
 use crate::records::*;
 use crate::settings::Settings;
+use basaltrail_admission::{Refusal, Ticket};
 use std::collections::{HashMap, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +22,26 @@
 pub struct Ask {
     pub req: ReqId,
     pub kind: Kind,
+    /// Why a submission is not taken, if the job is not known either.
+    pub refused: Option<NotTaken>,
+}
+
+/// Why a submission is not taken here. Another node may have taken it all the same, by other
+/// settings or out of another allotment, and its repeat must not be refused then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// Not now.
+    Later(Refusal),
+    /// It can never run.
+    Impossible(&'static str),
+    /// It cannot be kept.
+    Invalid(&'static str),
+}
+
+impl Ask {
+    pub fn new(req: ReqId, kind: Kind) -> Self {
+        Ask { req, kind, refused: None }
+    }
 }
 
 /// A job and those who wait for word of it.
@@ -39,6 +60,10 @@
     pub asks: Vec<Ask>,
     /// The service rejected it among others: it goes in a transaction of its own.
     pub alone: bool,
+    /// What was set aside for it.
+    pub ticket: Ticket,
+    /// Until when it waits for a newer allotment, if its own has moved on.
+    pub waits_until: Ms,
 }
 
 #[derive(Default)]
@@ -51,6 +76,8 @@
     pub checks_in_flight: u32,
     pub submits: Vec<NewJob>,
     pub submits_in_flight: u32,
+    /// Submissions whose allotment has moved on and whose next one is not known yet.
+    pub moved: Vec<NewJob>,
     pub reads: Vec<Waiting>,
     /// Asks anywhere in here, for the bound.
     pub waiting: usize,
--- a/crates/basaltrail-core/src/requests_tests.rs
+++ b/crates/basaltrail-core/src/requests_tests.rs
@@ -7,7 +7,7 @@
 fn checks_go_in_the_order_they_came() {
     let table = Table::new(10);
     let mut requests = RequestQueue::default();
-    let ask = |n| Ask { req: ReqId(n), kind: Kind::Poll };
+    let ask = |n| Ask::new(ReqId(n), Kind::Poll);
     requests.check(0, JobId(900), ask(1));
     for n in 0..20 {
         requests.check(0, JobId(n), ask(2 + n));
@@ -25,7 +25,7 @@
 fn progress_told_in_parts_is_shown_whole() {
     let mut table = Table::new(10);
     for job in [1, 2] {
-        let record = JobRecord { at: 0, spec: a_job(4, false) };
+        let record = JobRecord::new(0, a_job(4, false));
         table.put_active(JobId(job), job, record);
     }
     let mut requests = RequestQueue::default();
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -1,6 +1,7 @@
 //! What the platform and the operator set. Constants elsewhere are ratios to these.
 
 use crate::model::{fits, JobSpec, Ms};
+use basaltrail_admission::Bounds;
 
 #[derive(Clone, Debug)]
 pub struct Team {
@@ -69,6 +70,29 @@
     pub policy: Policy,
 }
 
+/// What may wait, and what classes of a team get of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionPolicy {
+    /// Seconds of work that may wait of a team, at the rate at which it is served.
+    pub backlog_s: f64,
+    /// The part of its team's CPUs that a class with work gets, whatever its priority.
+    pub class_least: f64,
+}
+
+impl Default for AdmissionPolicy {
+    fn default() -> Self {
+        AdmissionPolicy { backlog_s: 300.0, class_least: 0.1 }
+    }
+}
+
+/// Active jobs, per megabyte.
+const ACTIVE_PER_MB: f64 = 100.0;
+/// Changes at the state service that a job takes in all: its acceptance, its end (two), and a
+/// part of its completions.
+const CHANGES_PER_JOB: f64 = 4.0;
+/// The part of the changes a second that a leader has for the ends of jobs.
+const CHANGES_FOR_JOBS: f64 = 0.4;
+
 /// The operators' own settings; every one has a default.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Policy {
@@ -87,6 +111,8 @@
     /// Workers' leases that a team within its guarantee waits before work that others borrowed
     /// is stopped for it even if it cannot save; never if not set.
     pub guarantee_leases: Option<f64>,
+    /// Bounds of what may wait, handed out in allotments; none if not set.
+    pub admission: Option<AdmissionPolicy>,
     /// Weights by team; a team not named weighs its guarantee.
     pub weights: Vec<(String, f64)>,
 }
@@ -101,6 +127,7 @@
             idle_s: 20.0,
             sample: 64,
             guarantee_leases: None,
+            admission: None,
             weights: Vec::new(),
         }
     }
@@ -140,6 +167,28 @@
         (self.cancel_ms / 6).min(self.view_age_most_ms() / 3)
     }
 
+    /// Active jobs that a node's memory bears.
+    pub fn most_active_jobs(&self) -> usize {
+        (self.memory_mb * ACTIVE_PER_MB).max(100.0) as usize
+    }
+
+    /// What bounds the backlog of all teams, if the operators bound it.
+    pub fn admission_bounds(&self) -> Option<Bounds> {
+        let policy = self.policy.admission.as_ref()?;
+        let ends = policy.backlog_s * self.write_rps * CHANGES_FOR_JOBS / CHANGES_PER_JOB;
+        Some(Bounds {
+            horizon_s: policy.backlog_s,
+            jobs: ends.min(self.most_active_jobs() as f64) as u32,
+            round_s: self.policy.round_s,
+        })
+    }
+
+    /// A team's part of all weights.
+    pub fn weight_share(&self, team: usize) -> f64 {
+        let sum: f64 = (0..self.teams.len()).map(|t| self.weight(t)).sum();
+        self.weight(team) / sum.max(1e-9)
+    }
+
     /// How long a team within its guarantee waits for work that cannot save; for ever if the
     /// operators set nothing.
     pub fn guarantee_patience_ms(&self) -> Option<Ms> {
--- a/crates/basaltrail-core/tests/simulation/simulated/mod.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/mod.rs
@@ -2,6 +2,7 @@
 //! with crashes, cuts, late messages, outages and hangs. Each rule is checked here,
 //! by the world and not by the core. Seeds are fixed: the verdict is always the same.
 
+mod allotments;
 mod checks;
 mod days;
 mod limits;
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -259,6 +259,7 @@
             Answer::Impossible(_) => "422".into(),
             Answer::Invalid(_) => "400".into(),
             Answer::Busy { .. } => "503".into(),
+            Answer::Limits(report) => format!("limits of {}", report.node),
             Answer::Elsewhere { leader } => format!("421 {}", leader.as_deref().unwrap_or("-")),
             Answer::Orders { token, orders } => {
                 let mut words = vec![format!("token {}", token.0)];
@@ -413,7 +414,7 @@
                     "job" => {
                         let spot = words.get(4) != Some(&"ordinary");
                         let spec = JobSpec { spot, ..spec(words[3]) };
-                        let record = records::JobRecord { at: 0, spec };
+                        let record = records::JobRecord::new(0, spec);
                         self.put(
                             &records::active_key(job(2)),
                             Some(records::encode(&record)),
--- /dev/null
+++ b/crates/basaltrail-protocol/src/administration.rs
@@ -0,0 +1,95 @@
+//! What the administration listener tells: limits, use, backlog and allotments of the teams.
+//! The schema is published as `docs/schemas/limits.json`.
+
+use basaltrail_core::limits::{ClassReport, LimitsReport, TeamReport};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Jobs, and CPU-seconds of work.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Room {
+    /// Jobs.
+    pub jobs: u32,
+    /// CPU-seconds.
+    pub work: f64,
+}
+
+/// One class of a team.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Class {
+    /// The class; null for all that are not named.
+    pub class: Option<String>,
+    /// Unfinished jobs, on all nodes.
+    pub jobs: u32,
+    /// What this node may accept until its next allotment; null where allotments do not bind.
+    pub allotted: Option<Room>,
+    /// What is left of it.
+    pub left: Option<Room>,
+}
+
+/// One team.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Team {
+    /// Its name.
+    pub team: String,
+    /// CPUs that it is guaranteed.
+    pub guaranteed: f64,
+    /// CPUs that it may use; null without a limit.
+    pub limit: Option<f64>,
+    /// CPUs that its tasks may be using; null unless this node leads.
+    pub used: Option<f64>,
+    /// Submissions that this node told to come back since it began.
+    pub refused: u64,
+    /// Its classes.
+    pub classes: Vec<Class>,
+}
+
+/// The answer to `GET /limits`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct Limits {
+    /// The node that tells.
+    pub node: String,
+    /// The node that leads, as far as is known there.
+    pub leader: Option<String>,
+    /// The revision of the state service up to which jobs and allotments are known there.
+    pub revision: u64,
+    /// Whether allotments bind.
+    pub allotted: bool,
+    /// Every team of the settings.
+    pub teams: Vec<Team>,
+}
+
+fn room((jobs, work): (u32, f64)) -> Room {
+    Room { jobs, work }
+}
+
+fn class(report: &ClassReport) -> Class {
+    Class {
+        class: (!report.class.is_empty()).then(|| report.class.clone()),
+        jobs: report.jobs,
+        allotted: report.allotted.map(room),
+        left: report.left.map(room),
+    }
+}
+
+fn team(report: &TeamReport) -> Team {
+    Team {
+        team: report.team.clone(),
+        guaranteed: report.guaranteed,
+        limit: report.limit,
+        used: report.used,
+        refused: report.refused,
+        classes: report.classes.iter().map(class).collect(),
+    }
+}
+
+/// A report as it is told.
+pub fn limits(report: &LimitsReport) -> Limits {
+    Limits {
+        node: report.node.clone(),
+        leader: report.leader.clone(),
+        revision: report.revision,
+        allotted: report.allotted,
+        teams: report.teams.iter().map(team).collect(),
+    }
+}
--- a/crates/basaltrail-protocol/src/jobs.rs
+++ b/crates/basaltrail-protocol/src/jobs.rs
@@ -154,7 +154,9 @@
         Answer::Impossible(why) => (422, error(why), None),
         Answer::NotFound => (404, error("no such job"), None),
         Answer::Busy { retry_s, why } => (503, error(why), Some(*retry_s)),
-        Answer::Orders { .. } | Answer::Elsewhere { .. } => (500, error("not for users"), None),
+        Answer::Orders { .. } | Answer::Elsewhere { .. } | Answer::Limits(_) => {
+            (500, error("not for users"), None)
+        }
     }
 }
 
--- a/crates/basaltrail-protocol/src/lib.rs
+++ b/crates/basaltrail-protocol/src/lib.rs
@@ -1,6 +1,7 @@
 //! What goes over the wires: JSON bodies to users, workers, cloud and state
 //! service, and the frames between the controllers. Only here do wire names live.
 
+pub mod administration;
 pub mod cloud;
 pub mod frames;
 pub mod jobs;
--- /dev/null
+++ b/crates/basaltrail-protocol/tests/schema.rs
@@ -0,0 +1,53 @@
+//! The published schema of `inspect limits --json`, and answers judged by it.
+
+use basaltrail_core::limits::{ClassReport, LimitsReport, TeamReport};
+use basaltrail_protocol::administration::{limits, Limits};
+
+const PUBLISHED: &str = include_str!("../../../docs/schemas/limits.json");
+
+/// The schema is made from the types; to publish another one, write what this test prints.
+#[test]
+fn the_published_schema_is_that_of_the_types() {
+    let made = serde_json::to_value(schemars::schema_for!(Limits)).unwrap();
+    let published: serde_json::Value = serde_json::from_str(PUBLISHED).unwrap_or_default();
+    assert_eq!(published, made, "{}", serde_json::to_string_pretty(&made).unwrap());
+}
+
+#[test]
+fn answers_keep_to_the_schema_and_others_do_not() {
+    let schema: serde_json::Value = serde_json::from_str(PUBLISHED).unwrap();
+    let validator = jsonschema::validator_for(&schema).unwrap();
+    let room = Some((3, 60.0));
+    let class = |class: &str, allotted| ClassReport {
+        class: class.into(),
+        jobs: 2,
+        allotted,
+        left: allotted,
+    };
+    let team = |limit, used| TeamReport {
+        team: "cataloguers".into(),
+        guaranteed: 24.0,
+        limit,
+        used,
+        refused: 7,
+        classes: vec![class("c", room), class("", None)],
+    };
+    let report = LimitsReport {
+        node: "stack-0".into(),
+        leader: Some("stack-1".into()),
+        revision: 12,
+        allotted: true,
+        teams: vec![team(Some(48.0), Some(8.0)), team(None, None)],
+    };
+    let told = serde_json::to_value(limits(&report)).unwrap();
+    assert!(validator.is_valid(&told), "{told}");
+    for (pointer, bad) in [
+        ("/teams", "none".into()),
+        ("/teams/0/limit", "48".into()),
+        ("/node", serde_json::Value::Null),
+    ] {
+        let mut odd = told.clone();
+        *odd.pointer_mut(pointer).unwrap() = bad;
+        assert!(!validator.is_valid(&odd), "{pointer}");
+    }
+}
--- a/crates/basaltrail-testbed/src/commands/mod.rs
+++ b/crates/basaltrail-testbed/src/commands/mod.rs
@@ -1,9 +1,11 @@
 //! The commands, and what they share.
 
+pub mod overload;
 pub mod racing;
 pub mod serve;
 pub mod soak;
 
+use basaltrail_testbed::world::Operators;
 use clap::Args;
 use nix::sys::resource::{getrlimit, Resource};
 use std::ops::Range;
@@ -39,6 +41,11 @@
 }
 
 impl Controllers {
+    /// What their operators set.
+    pub fn operators(&self) -> Operators {
+        Operators::named(self.policy.as_deref())
+    }
+
     /// The controllers' program: the one that is named, or the one beside this program.
     pub fn program(&self) -> Result<PathBuf, String> {
         let beside = || {
--- a/crates/basaltrail-testbed/src/commands/racing.rs
+++ b/crates/basaltrail-testbed/src/commands/racing.rs
@@ -35,7 +35,7 @@
     make_directory(&arguments.dir)?;
     let plan = Plan {
         program,
-        policy: arguments.controllers.policy.clone(),
+        operators: arguments.controllers.operators(),
         nodes: arguments.controllers.nodes as usize,
         machines: arguments.machines as usize,
         jobs: arguments.jobs,
--- a/crates/basaltrail-testbed/src/commands/serve.rs
+++ b/crates/basaltrail-testbed/src/commands/serve.rs
@@ -3,12 +3,17 @@
 use super::{make_directory, minutes, sockets_allow, Controllers, MACHINES_MOST};
 use basaltrail_testbed::deployment::Deployment;
 use basaltrail_testbed::serve::{start, Plan};
+use basaltrail_testbed::world::Operators;
 use clap::Args;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
+/// What the operators of the try-out set, unless a policy file is named: little may wait, so that
+/// a refusal is soon seen.
+const TRY_OUT: &str = "(admission (backlog-s 30)) (guarantee-leases 2)";
+
 #[derive(Args)]
 pub struct Arguments {
     /// Minutes until it ends by itself
@@ -33,7 +38,10 @@
     make_directory(&arguments.dir)?;
     Ok(Plan {
         program,
-        policy: arguments.controllers.policy.clone(),
+        operators: match &arguments.controllers.policy {
+            Some(file) => Operators::File(file.clone()),
+            None => Operators::Entries(TRY_OUT.into()),
+        },
         nodes: arguments.controllers.nodes as usize,
         machines: arguments.machines as usize,
         first_port: arguments.port,
@@ -56,6 +64,10 @@
     for node in 0..world.controllers.count() {
         println!("{}  http://{}", Deployment::node_name(node), world.controllers.listen(node));
     }
+    if matches!(plan.operators, Operators::Entries(_)) {
+        let administration = world.controllers.administration(0);
+        println!("administration of stack-0  {administration}");
+    }
     for team in &world.deployment.teams {
         println!("team {}: {} CPUs guaranteed, {} at most", team.name, team.cpus, team.cpus_max);
     }
--- a/crates/basaltrail-testbed/src/commands/soak.rs
+++ b/crates/basaltrail-testbed/src/commands/soak.rs
@@ -53,7 +53,7 @@
     };
     Ok(Plan {
         program,
-        policy: soak.controllers.policy.clone(),
+        operators: soak.controllers.operators(),
         deployment: Deployment::new(soak.controllers.nodes as usize, soak.machines as usize),
         faults,
         run_ms: (soak.minutes * 60_000.0) as u64,
--- a/crates/basaltrail-testbed/src/controllers.rs
+++ b/crates/basaltrail-testbed/src/controllers.rs
@@ -2,12 +2,12 @@
 //! Only children of this process are ever sent a signal, by their process id.
 
 use crate::deployment::{Addresses, Deployment};
-use crate::world::Setup;
+use crate::world::{Operators, Setup};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Stdio;
 use tokio::process::{Child, Command};
 use tokio::sync::Mutex;
@@ -32,7 +32,7 @@
 /// The controllers of a run.
 pub struct Controllers {
     program: PathBuf,
-    policy: Option<PathBuf>,
+    policies: Vec<Option<PathBuf>>,
     directory: PathBuf,
     addresses: Vec<Addresses>,
     processes: Vec<Mutex<Option<Child>>>,
@@ -45,9 +45,12 @@
     ///
     /// If a file cannot be written.
     pub fn prepare(setup: &Setup<'_>, addresses: Vec<Addresses>) -> Result<Self, ControllerError> {
+        let policies = addresses.iter().enumerate();
+        let policies: Result<Vec<_>, _> =
+            policies.map(|(node, at)| write_policy(setup, node, at)).collect();
         let controllers = Controllers {
             program: setup.program.into(),
-            policy: setup.policy.map(Path::to_path_buf),
+            policies: policies?,
             directory: setup.directory.into(),
             processes: addresses.iter().map(|_| Mutex::new(None)).collect(),
             addresses,
@@ -73,6 +76,11 @@
         std::fs::write(&path, settings).map_err(|error| ControllerError::File(path, error))
     }
 
+    /// Where a controller listens for operators, if its policy says so.
+    pub fn administration(&self, node: usize) -> SocketAddr {
+        self.addresses[node].administration
+    }
+
     /// Where a controller listens for users and workers.
     pub fn listen(&self, node: usize) -> SocketAddr {
         self.addresses[node].listen
@@ -102,7 +110,7 @@
         let log = OpenOptions::new().create(true).append(true).open(&path).map_err(file)?;
         let mut command = Command::new(&self.program);
         command.arg("--config").arg(self.directory.join(format!("stack-{node}.toml")));
-        if let Some(policy) = &self.policy {
+        if let Some(policy) = &self.policies[node] {
             command.arg("--policy").arg(policy);
         }
         let started = command
@@ -171,3 +179,22 @@
         Ok(found)
     }
 }
+
+/// The policy file of one controller, if it has one.
+fn write_policy(
+    setup: &Setup<'_>,
+    node: usize,
+    at: &Addresses,
+) -> Result<Option<PathBuf>, ControllerError> {
+    let entries = match setup.operators {
+        Operators::Nothing => return Ok(None),
+        Operators::File(file) => return Ok(Some(file.clone())),
+        Operators::Entries(entries) => entries,
+    };
+    let path = setup.directory.join(format!("stack-{node}.policy"));
+    let text = format!("(policy\n  (administration \"{}\")\n  {entries})\n", at.administration);
+    match std::fs::write(&path, text) {
+        Ok(()) => Ok(Some(path)),
+        Err(error) => Err(ControllerError::File(path, error)),
+    }
+}
--- a/crates/basaltrail-testbed/src/deployment.rs
+++ b/crates/basaltrail-testbed/src/deployment.rs
@@ -187,6 +187,8 @@
     pub listen: SocketAddr,
     /// For the other controllers.
     pub peer_listen: SocketAddr,
+    /// For operators, where the policy has it.
+    pub administration: SocketAddr,
     /// The state service.
     pub state: SocketAddr,
     /// The cloud.
--- a/crates/basaltrail-testbed/src/lib.rs
+++ b/crates/basaltrail-testbed/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod figures;
 pub mod history;
 pub mod http;
+pub mod overload;
 pub mod proxy;
 pub mod racing;
 pub mod request;
--- a/crates/basaltrail-testbed/src/main.rs
+++ b/crates/basaltrail-testbed/src/main.rs
@@ -21,6 +21,8 @@
     Serve(commands::serve::Arguments),
     /// A thousand submissions in one instant; status 1 if a rule is broken
     Racing(commands::racing::Arguments),
+    /// More work than the machines can do, for minutes; status 1 if a rule is broken
+    Overload(commands::overload::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -44,6 +46,7 @@
         Command::Soak(arguments) => runtime.block_on(commands::soak::run(&arguments)),
         Command::Serve(arguments) => runtime.block_on(commands::serve::run(&arguments)),
         Command::Racing(arguments) => runtime.block_on(commands::racing::run(&arguments)),
+        Command::Overload(arguments) => runtime.block_on(commands::overload::run(&arguments)),
     };
     done.unwrap_or_else(|why| commands::unusable(&why))
 }
--- a/crates/basaltrail-testbed/src/racing.rs
+++ b/crates/basaltrail-testbed/src/racing.rs
@@ -9,7 +9,7 @@
 use crate::request::JobRequest;
 use crate::serve::all_ready;
 use crate::users::{Habits, Users};
-use crate::world::{RunError, Setup, World};
+use crate::world::{Operators, RunError, Setup, World};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use serde::Serialize;
@@ -18,10 +18,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How long controllers may take to become ready, and machines to come.
+/// How long controllers may take to become ready, and the first jobs to end.
 const START_MS: Ms = 30_000;
-/// Machines that are up before the race begins, as a part of the guarantees.
-const MACHINES_UP: f64 = 0.9;
 /// Jobs of the race run so long.
 const RUN_MS: std::ops::Range<Ms> = 500..3_000;
 /// The team within its guarantee submits a job so often, each of so many CPUs.
@@ -47,8 +45,8 @@
 pub struct Plan {
     /// The controllers' program.
     pub program: PathBuf,
-    /// The controllers' policy file, if there is one.
-    pub policy: Option<PathBuf>,
+    /// What the controllers' operators set.
+    pub operators: Operators,
     /// Controllers.
     pub nodes: usize,
     /// Machines that the cloud can rent.
@@ -116,7 +114,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let setup = Setup {
         program: &plan.program,
-        policy: plan.policy.as_deref(),
+        operators: &plan.operators,
         deployment: &deployment,
         directory: &directory,
         first_port: None,
@@ -155,8 +153,8 @@
 
 const RACE_HABITS: Habits = Habits { cancel_share: 0.0, repeat_share: 0.05, submit_to: None };
 
-/// Waits until the controllers are ready and hold the machines of the guarantees. They hold them
-/// only where there was work of late: each team gets a job that fills its guarantee.
+/// Waits until the controllers are ready and have rented machines. They do so only where there is
+/// work: each team gets a job that fills its guarantee, which is waited for.
 pub(crate) async fn warm_up(world: &World) -> Result<(), RunError> {
     if !all_ready(world, START_MS).await {
         return Err(std::io::Error::other("a controller is not ready").into());
@@ -174,15 +172,7 @@
         let request = JobRequest { shape, priority: "standard", run_ms: RUN_MS.end };
         world.users.submit(WARM_UP_JOBS + number as u64, &request, RACE_HABITS, number as u64);
     }
-    let guaranteed: f64 = world.deployment.teams.iter().map(|team| team.cpus).sum();
-    let wanted = guaranteed / world.deployment.cpus() * MACHINES_UP;
     let until = world.clock.now() + START_MS;
-    while (world.cloud.running().len() as f64) < wanted * world.deployment.machines as f64 {
-        if world.clock.now() >= until {
-            return Err(std::io::Error::other("machines do not come").into());
-        }
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
     while world.users.unfinished() > 0 && world.clock.now() < until {
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
--- a/crates/basaltrail-testbed/src/serve.rs
+++ b/crates/basaltrail-testbed/src/serve.rs
@@ -4,7 +4,7 @@
 use crate::clock::Ms;
 use crate::deployment::{Deployment, Team};
 use crate::http::Client;
-use crate::world::{RunError, Setup, World};
+use crate::world::{Operators, RunError, Setup, World};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +23,8 @@
 pub struct Plan {
     /// The controllers' program.
     pub program: PathBuf,
-    /// The controllers' policy file, if there is one.
-    pub policy: Option<PathBuf>,
+    /// What the controllers' operators set.
+    pub operators: Operators,
     /// Controllers.
     pub nodes: usize,
     /// Machines that the cloud can rent.
@@ -60,7 +60,7 @@
     let deployment = plan.deployment();
     let setup = Setup {
         program: &plan.program,
-        policy: plan.policy.as_deref(),
+        operators: &plan.operators,
         deployment: &deployment,
         directory: &plan.directory,
         first_port: Some(plan.first_port),
--- a/crates/basaltrail-testbed/src/soak.rs
+++ b/crates/basaltrail-testbed/src/soak.rs
@@ -7,7 +7,7 @@
 use crate::faults::{self, FaultKind};
 use crate::history::{self, What};
 use crate::users::{self, Told};
-use crate::world::{RunError, Setup, World};
+use crate::world::{Operators, RunError, Setup, World};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -23,8 +23,8 @@
 pub struct Plan {
     /// The controllers' program.
     pub program: PathBuf,
-    /// The controllers' policy file, if there is one.
-    pub policy: Option<PathBuf>,
+    /// What the controllers' operators set.
+    pub operators: Operators,
     /// The deployment.
     pub deployment: Deployment,
     /// Kinds of faults that may come.
@@ -68,7 +68,7 @@
     let mut rng = SmallRng::seed_from_u64(seed);
     let setup = Setup {
         program: &plan.program,
-        policy: plan.policy.as_deref(),
+        operators: &plan.operators,
         deployment: &plan.deployment,
         directory: &directory,
         first_port: None,
--- a/crates/basaltrail-testbed/src/world.rs
+++ b/crates/basaltrail-testbed/src/world.rs
@@ -15,7 +15,7 @@
 use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc;
@@ -35,13 +35,32 @@
     Controller(#[from] ControllerError),
 }
 
+/// What the controllers' operators set.
+#[derive(Clone, Debug, Default)]
+pub enum Operators {
+    /// Nothing.
+    #[default]
+    Nothing,
+    /// A policy file, the same for all controllers.
+    File(PathBuf),
+    /// Entries of a policy file; each controller has an administration listener beside.
+    Entries(String),
+}
+
+impl Operators {
+    /// The file that is named, if one is.
+    pub fn named(file: Option<&Path>) -> Self {
+        file.map_or(Operators::Nothing, |file| Operators::File(file.into()))
+    }
+}
+
 /// What a world is made of.
 #[derive(Clone, Debug)]
 pub struct Setup<'a> {
     /// The controllers' program.
     pub program: &'a Path,
-    /// The controllers' policy file, if there is one.
-    pub policy: Option<&'a Path>,
+    /// What the controllers' operators set.
+    pub operators: &'a Operators,
     /// The deployment.
     pub deployment: &'a Deployment,
     /// Where settings and logs go.
@@ -200,8 +219,8 @@
             Some(first) => named_port(first, node)?,
             None => free_port()?,
         };
-        let peer_listen = free_port()?;
-        listens.push((listen, peer_listen));
+        let (peer_listen, administration) = (free_port()?, free_port()?);
+        listens.push((listen, peer_listen, administration));
         links.state.push(Link::open(state.listen(node).await?).await?);
         links.cloud.push(Link::open(cloud_at).await?);
         links.users.push(Link::open(listen).await?);
@@ -220,6 +239,7 @@
         addresses.push(Addresses {
             listen: listens[node].0,
             peer_listen: listens[node].1,
+            administration: listens[node].2,
             state: links.state[node].near,
             cloud: links.cloud[node].near,
             peers,
--- a/crates/basaltrail/src/clients.rs
+++ b/crates/basaltrail/src/clients.rs
@@ -93,6 +93,12 @@
         })
     }
 
+    /// Reads from another node's administration listener; nothing unless it answers 200.
+    pub async fn read(&self, to: SocketAddr, path: &str, timeout_ms: u64) -> Option<Bytes> {
+        let answer = self.call(&to.to_string(), "GET", path, String::new(), timeout_ms).await;
+        answer.ok().filter(|(status, _)| *status == 200).map(|(_, body)| body)
+    }
+
     pub async fn cloud(&self, to: SocketAddr, op: &CloudOp, timeout_ms: u64) -> CloudReply {
         let (method, path, body) = cloud::request(op);
         let answer = self.call(&to.to_string(), method, &path, body, timeout_ms).await;
--- a/crates/basaltrail/src/driver.rs
+++ b/crates/basaltrail/src/driver.rs
@@ -44,6 +44,10 @@
     let (frame, newest) = watch::channel(Vec::new());
     let ready = Arc::new(AtomicBool::new(false));
     let requests = Request { asks, ready: ready.clone(), next: Arc::new(AtomicU64::new(1)) };
+    if let Some(address) = settings.administration {
+        let listener = TcpListener::bind(address).await?;
+        tokio::spawn(server::serve_operators(listener, requests.clone()));
+    }
     // The rest is for our own calls and for connections that are being closed.
     tokio::spawn(server::serve(listener, settings.max_connections * 3 / 4, requests));
     tokio::spawn(peers::listen(peer_listener, settings.max_connections / 16 + 4, hints));
--- a/crates/basaltrail/src/policy.rs
+++ b/crates/basaltrail/src/policy.rs
@@ -7,18 +7,27 @@
 //! ```
 
 use crate::settings::Error;
-use basaltrail_core::{Policy, Settings};
+use basaltrail_core::{AdmissionPolicy, Policy, Settings};
 use lexpr::datum::Ref;
+use std::net::SocketAddr;
 use std::path::Path;
 
-pub fn load(path: &Path, settings: &Settings) -> Result<Policy, Error> {
+/// What the operators set.
+#[derive(Debug, Default, PartialEq)]
+pub struct Operators {
+    pub policy: Policy,
+    /// Where the administration listener listens, if there is to be one.
+    pub administration: Option<SocketAddr>,
+}
+
+pub fn load(path: &Path, settings: &Settings) -> Result<Operators, Error> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|e| Error::File { file: file.clone(), why: e.to_string() })?;
     parse(&file, &text, settings)
 }
 
-pub fn parse(file: &str, text: &str, settings: &Settings) -> Result<Policy, Error> {
+pub fn parse(file: &str, text: &str, settings: &Settings) -> Result<Operators, Error> {
     let fail = |at: &Ref, why: String| Error::Line {
         file: file.into(),
         line: at.span().start().line(),
@@ -35,6 +44,7 @@
         return Err(fail(&top, "expected (policy (KEY VALUE) ...)".into()));
     };
     let mut policy = Policy::default();
+    let mut administration = None;
     let mut seen: Vec<String> = Vec::new();
     for entry in entries {
         let Some((key, args)) = named(entry) else {
@@ -57,6 +67,15 @@
             "lease-term-s" => policy.lease_term_s = number(0.5, 86_400.0)?,
             "headroom" => policy.headroom = number(0.0, 10.0)?,
             "idle-s" => policy.idle_s = number(0.0, 86_400.0)?,
+            "administration" => {
+                let address = match args.as_slice() {
+                    [one] => one.value().as_str().and_then(|text| text.parse().ok()),
+                    _ => None,
+                };
+                let why = || "administration takes an address, such as \"127.0.0.1:7190\"".into();
+                administration = Some(address.ok_or_else(|| fail(&entry, why()))?);
+            }
+            "admission" => policy.admission = Some(admission(file, &entry, &args)?),
             "guarantee-leases" => policy.guarantee_leases = Some(number(0.5, 1e4)?),
             "sample" => policy.sample = number(1.0, 1e6)? as usize,
             "weights" => {
@@ -81,6 +100,43 @@
         }
         seen.push(key);
     }
+    Ok(Operators { policy, administration })
+}
+
+/// `(admission (backlog-s 300) (class-least 0.1))`, both optional.
+fn admission(file: &str, entry: &Ref, args: &[Ref]) -> Result<AdmissionPolicy, Error> {
+    let fail = |at: &Ref, why: &str| Error::Line {
+        file: file.into(),
+        line: at.span().start().line(),
+        why: why.into(),
+    };
+    let mut policy = AdmissionPolicy::default();
+    let mut seen: Vec<String> = Vec::new();
+    for arg in args {
+        let (name, values) =
+            named(*arg).ok_or_else(|| fail(arg, "admission takes (KEY VALUE) ..."))?;
+        let value = match values.as_slice() {
+            [one] => one.value().as_f64().filter(|value| value.is_finite()),
+            _ => None,
+        };
+        if seen.contains(&name) {
+            return Err(fail(arg, &format!("{name} is set twice")));
+        }
+        match (name.as_str(), value) {
+            ("backlog-s", Some(value)) if (1.0..=1e6).contains(&value) => policy.backlog_s = value,
+            ("backlog-s", _) => {
+                return Err(fail(arg, "backlog-s must be a number from 1 to 1000000"));
+            }
+            ("class-least", Some(value)) if (0.0..=0.5).contains(&value) => {
+                policy.class_least = value;
+            }
+            ("class-least", _) => {
+                return Err(fail(arg, "class-least must be a number from 0 to 0.5"));
+            }
+            _ => return Err(fail(entry, &format!("admission has no {name:?}"))),
+        }
+        seen.push(name);
+    }
     Ok(policy)
 }
 
--- a/crates/basaltrail/src/server.rs
+++ b/crates/basaltrail/src/server.rs
@@ -1,7 +1,7 @@
 //! The HTTP side towards users and workers.
 
 use basaltrail_core::{Answer, Input, ReqId};
-use basaltrail_protocol::{jobs, names, workers};
+use basaltrail_protocol::{administration, jobs, names, workers};
 use bytes::{Buf, Bytes};
 use futures_util::{Stream, StreamExt};
 use hyper::server::conn::http1;
@@ -171,10 +171,37 @@
     checkin.or(poll).unify().or(submit).unify().or(cancel).unify().or(ready).unify()
 }
 
+/// Connections of operators at once.
+const OPERATORS_MOST: usize = 8;
+
+async fn limits(requests: Request) -> Result<Reply, Infallible> {
+    Ok(match requests.ask(|req| Input::Inspect { req }).await {
+        Answer::Limits(report) => {
+            let limits = administration::limits(&report);
+            reply(200, serde_json::to_string(&limits).unwrap_or_default(), None)
+        }
+        other => to_user(&other),
+    })
+}
+
+/// Serves operators, who may read and change nothing, until the process ends.
+pub async fn serve_operators(listener: TcpListener, requests: Request) {
+    let with = warp::any().map(move || requests.clone());
+    let routes = warp::path!("limits").and(warp::get()).and(with).and_then(limits);
+    serve_routes(listener, OPERATORS_MOST, routes).await;
+}
+
 /// Serves until the process ends. Connections beyond the bound are closed at once.
 pub async fn serve(listener: TcpListener, most: usize, requests: Request) {
+    serve_routes(listener, most, routes(requests)).await;
+}
+
+async fn serve_routes<F>(listener: TcpListener, most: usize, routes: F)
+where
+    F: Filter<Error = warp::Rejection> + Clone + Send + Sync + 'static,
+    F::Extract: warp::Reply,
+{
     let room = Arc::new(Semaphore::new(most));
-    let routes = routes(requests);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/basaltrail/src/settings.rs
+++ b/crates/basaltrail/src/settings.rs
@@ -25,6 +25,8 @@
     pub state: SocketAddr,
     pub cloud: SocketAddr,
     pub max_connections: usize,
+    /// Where operators ask, if they may.
+    pub administration: Option<SocketAddr>,
 }
 
 #[derive(Deserialize)]
@@ -170,13 +172,28 @@
         ok.then_some(x).ok_or_else(|| fail(format!("params.{name} must be above 0")))
     };
     let ms = |name: &str, s: f64| positive(name, s).map(|s| (s * 1000.0).max(1.0) as u64);
+    let fail_at_team = |name: &str, why: &str| {
+        let why = format!("team {name:?} {why}");
+        let quoted = format!("name = {name:?}");
+        match text.find(&quoted) {
+            Some(at) => {
+                let line = text[..at].matches('\n').count() + 1;
+                Error::Line { file: file.into(), line, why }
+            }
+            None => fail(why),
+        }
+    };
     let mut teams = Vec::new();
     for t in &p.teams {
         for x in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
             if !x.is_finite() || x < 0.0 {
-                return Err(fail(format!("team {:?} has an amount below 0", t.name)));
+                return Err(fail_at_team(&t.name, "has an amount below 0"));
             }
         }
+        let below = |max: f64, guaranteed: f64| max > 0.0 && max < guaranteed;
+        if below(t.cpus_max, t.cpus) || below(t.gpus_max, t.gpus) {
+            return Err(fail_at_team(&t.name, "has a limit below its guarantee"));
+        }
         if teams.iter().any(|o: &Team| o.name == t.name) {
             return Err(fail(format!("team {:?} is named twice", t.name)));
         }
@@ -263,6 +280,7 @@
         state: addr("endpoints.state", &f.endpoints.state)?,
         cloud: addr("endpoints.cloud", &f.endpoints.cloud)?,
         max_connections: p.resources.max_connections,
+        administration: None,
     })
 }
 
--- a/crates/basaltrail/src/settings_tests.rs
+++ b/crates/basaltrail/src/settings_tests.rs
@@ -84,3 +84,19 @@
     assert!(none.unwrap_err().to_string().contains("no team"));
     assert!(told("name = \"buyers\"", "name = \"cataloguers\"").contains("twice"));
 }
+
+#[test]
+fn a_limit_below_its_guarantee_is_refused_where_it_stands() {
+    let line = GOOD[..GOOD.find("name = \"buyers\"").unwrap()].matches('\n').count() + 1;
+    let at = GOOD.find("name = \"buyers\"").unwrap();
+    let (before, team) = GOOD.split_at(at);
+    for (from, to, why) in [
+        ("cpus_max = 664.0", "cpus_max = 1.0", "has a limit below its guarantee"),
+        ("cpus_max = 664.0", "cpus_max = -1.0", "has an amount below 0"),
+        ("cpus_max = 664.0", "cpus_max = inf", "has an amount below 0"),
+    ] {
+        let text = format!("{before}{}", team.replacen(from, to, 1));
+        let error = parse("s.toml", &text).unwrap_err().to_string();
+        assert_eq!(error, format!("s.toml:{line}: team \"buyers\" {why}"));
+    }
+}
--- /dev/null
+++ b/crates/basaltrail/tests/inspect.rs
@@ -0,0 +1,104 @@
+//! `inspect limits` against a node that runs, and against none; `check`.
+
+use basaltrail_testbed::http::{free_port, Client};
+use basaltrail_testbed::serve::{start, Plan};
+use basaltrail_testbed::world::Operators;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::process::Output;
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+async fn basaltrail(arguments: &[&str]) -> Output {
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_basaltrail"));
+    command.args(arguments).output().await.unwrap()
+}
+
+async fn limits(at: SocketAddr) -> Option<Value> {
+    let output = basaltrail(&["inspect", "limits", "--json", "--at", &at.to_string()]).await;
+    serde_json::from_slice(&output.stdout).ok()
+}
+
+fn submission(number: u32) -> String {
+    json!({"nameId": format!("job-{number:06}"), "shelf": "c", "desk": "buyers",
+        "binding": "array", "precedence": "standard", "leaves": 4, "vcpus": 8.0, "gpus": 0.0,
+        "ramGb": 1.0, "edition": "i", "sizeGb": 0.1, "formats": null, "room": null,
+        "samePlace": false, "apart": false, "remainders": true, "reckonS": 30.0,
+        "bookmarkS": 0.0, "pressS": 0.0, "dueS": null})
+    .to_string()
+}
+
+/// A team submits far more than may wait: it is told to come back, and a repeat of what was
+/// accepted is still answered 200.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_backlog_that_is_full_is_refused_and_seen() {
+    let directory = std::env::temp_dir().join(format!("basaltrail-inspect-{}", std::process::id()));
+    let plan = Plan {
+        program: env!("CARGO_BIN_EXE_basaltrail").into(),
+        operators: Operators::Entries("(admission (backlog-s 30))".into()),
+        nodes: 1,
+        machines: 8,
+        first_port: free_port().unwrap().port(),
+        directory: directory.clone(),
+        seed: 1,
+    };
+    let world = start(&plan).await.unwrap();
+    let (node, administration) = (world.controllers.listen(0), world.controllers.administration(0));
+    let client = Client::default();
+    let (mut first, mut refused) = (None, None);
+    for number in 0..2_000 {
+        let body = submission(1_000 + number);
+        let answer = client.call(node, "POST", "/api/jobs", body, PATIENCE).await.unwrap();
+        match answer.status {
+            201 => first = first.or(Some(1_000 + number)),
+            // Until the first allotment, nothing is accepted either.
+            _ if first.is_none() => tokio::time::sleep(Duration::from_millis(50)).await,
+            _ => {
+                refused = Some(answer);
+                break;
+            }
+        }
+    }
+    let refused = refused.expect("nothing was refused");
+    assert_eq!(refused.status, 503, "{}", refused.body);
+    assert!(refused.retry_after_s.is_some_and(|s| (1..=30).contains(&s)));
+    let again = submission(first.unwrap());
+    let again = client.call(node, "POST", "/api/jobs", again, PATIENCE).await.unwrap();
+    assert_eq!(again.status, 200, "{}", again.body);
+
+    let told = limits(administration).await.expect("no answer");
+    assert_eq!((&told["node"], &told["allotted"]), (&json!("stack-0"), &json!(true)));
+    let teams = told["teams"].as_array().unwrap();
+    let buyers = teams.iter().find(|team| team["team"] == "buyers").unwrap();
+    assert!(buyers["refused"].as_u64() >= Some(1) && buyers["used"].is_number(), "{buyers}");
+    let class = buyers["classes"].as_array().unwrap().iter().find(|class| class["class"] == "c");
+    assert!(class.is_some_and(|class| class["jobs"].as_u64() >= Some(1)), "{buyers}");
+    let table = basaltrail(&["inspect", "limits", "--at", &administration.to_string()]).await;
+    let table = String::from_utf8(table.stdout).unwrap();
+    assert!(table.contains("buyers") && table.lines().count() >= 4, "{table}");
+    world.end().await;
+
+    let away = basaltrail(&["inspect", "limits", "--at", &administration.to_string()]).await;
+    let line = String::from_utf8(away.stderr).unwrap();
+    assert_eq!((away.status.code(), line.lines().count()), (Some(1), 1), "{line}");
+    let _ = std::fs::remove_dir_all(directory);
+}
+
+#[tokio::test]
+async fn settings_are_checked_by_either_form() {
+    let good = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/settings.toml");
+    let policy = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/admission.policy");
+    for arguments in [
+        vec!["--config", good, "--check"],
+        vec!["check", "--config", good],
+        vec!["check", "--config", good, "--policy", policy],
+    ] {
+        let output = basaltrail(&arguments).await;
+        assert!(output.status.success(), "{arguments:?}: {output:?}");
+    }
+    for arguments in [vec!["check", "--config", policy], vec![], vec!["inspect", "all"]] {
+        let output = basaltrail(&arguments).await;
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}");
+    }
+}
--- a/crates/basaltrail/tests/try_out.rs
+++ b/crates/basaltrail/tests/try_out.rs
@@ -2,7 +2,7 @@
 
 use basaltrail_testbed::http::{free_port, Client};
 use basaltrail_testbed::serve::{start, Plan};
-use basaltrail_testbed::world::World;
+use basaltrail_testbed::world::{Operators, World};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -70,7 +70,7 @@
     let directory = std::env::temp_dir().join(format!("basaltrail-try-out-{}", std::process::id()));
     let plan = Plan {
         program: env!("CARGO_BIN_EXE_basaltrail").into(),
-        policy: None,
+        operators: Operators::Nothing,
         nodes: 1,
         machines: 8,
         first_port: free_port().unwrap().port(),
--- a/tests/mixed-versions/tests/versions/convert.rs
+++ b/tests/mixed-versions/tests/versions/convert.rs
@@ -65,7 +65,8 @@
 
             pub fn input(input: new::Input) -> old::Input {
                 match input {
-                    new::Input::Tick => old::Input::Tick,
+                    // Nobody asks an earlier version for its limits.
+                    new::Input::Tick | new::Input::Inspect { .. } => old::Input::Tick,
                     new::Input::Submit { req, job, spec } => old::Input::Submit {
                         req: old::ReqId(req.0),
                         job: old::JobId(job.0),
