Admission: each guard has a test that fails without it

The planner kept its bound in the model without counting what is on its way.

Change: tests of a node (an acceptance names its allotment's stamp, waits for the next one, nothing without one, a repeat is looked up before it is refused) and of the planner (what is left of a record, and what was written and is not in the view, count).

--- a/crates/basaltrail-admission/tests/planner.rs
+++ b/crates/basaltrail-admission/tests/planner.rs
@@ -124,3 +124,49 @@
     assert_eq!(second.len(), 1);
     assert_eq!((second[0].allotment.incarnation, second[0].replaces), (2, 11));
 }
+
+/// One node's record holds much that it has not used; it and another's are replaced at once.
+#[test]
+fn what_is_left_of_a_record_counts_while_it_is_replaced() {
+    let mut view = nodes(2);
+    let held = |node: &str, jobs| {
+        let class = |name: &str, jobs| ClassRoom {
+            class: name.into(),
+            jobs,
+            work: f64::from(jobs) * 10.0,
+            wait_s: 5,
+        };
+        Allotment {
+            team: "t".into(),
+            node: node.into(),
+            incarnation: 1,
+            horizon_s: 100.0,
+            classes: vec![class("c", jobs), class(OTHER_CLASSES, 0)],
+        }
+    };
+    view.learn_allotment(held("n0", 140), 10, std::iter::empty(), true);
+    view.learn_allotment(held("n1", 0), 11, std::iter::empty(), true);
+    let team = [load("t", &[("c", 0)])];
+    let bound = Planner::bound(&BOUNDS, &team[0], 20.0, 2).jobs;
+    let grants = Planner::default().plan(&view, &BOUNDS, &team);
+    let granted = sum(&grants, "t", "c").plus(sum(&grants, "t", OTHER_CLASSES)).jobs;
+    assert!(140 + granted <= bound, "{granted} beside 140 of {bound}");
+}
+
+/// Nodes join one after the other, and the view shows none of the records that were written.
+#[test]
+fn what_was_written_counts_for_the_others_until_the_view_has_it() {
+    let mut view = View::default();
+    let mut planner = Planner::default();
+    let team = [load("t", &[])];
+    let mut granted = Room::default();
+    let mut bound = 0;
+    for node in 0..16 {
+        view.learn_node(&format!("n{node:02}"), 1, node + 1);
+        let grants = planner.plan(&view, &BOUNDS, &team);
+        grants.iter().for_each(|grant| planner.written(grant, Written::Done));
+        granted = granted.plus(sum(&grants, "t", OTHER_CLASSES));
+        bound = Planner::bound(&BOUNDS, &team[0], 20.0, node as usize + 1).jobs;
+    }
+    assert!(granted.jobs <= bound, "{} of {bound}", granted.jobs);
+}
--- a/crates/basaltrail-core/src/node/admission.rs
+++ b/crates/basaltrail-core/src/node/admission.rs
@@ -229,3 +229,7 @@
         self.calls.log(Level::Info, "submissions_refused", counts.join(" "));
     }
 }
+
+#[cfg(test)]
+#[path = "admission_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/basaltrail-core/src/node/admission_tests.rs
@@ -0,0 +1,141 @@
+use super::*;
+use crate::settings::sample::{a_job, a_type, settings};
+use crate::settings::{AdmissionPolicy, Policy, Team};
+use basaltrail_admission::ClassRoom;
+
+const ACTIVE_STAMP: u64 = 9;
+const ALLOTMENT_STAMP: u64 = 5;
+
+fn node(policy: Option<AdmissionPolicy>) -> Node {
+    let team =
+        Team { name: "t".into(), cpus: 100.0, cpus_max: 100.0, gpus: 0.0, gpus_max: f64::INFINITY };
+    let base = settings();
+    let policy = Policy { admission: policy, ..base.policy.clone() };
+    let cfg = Settings { teams: vec![team], policy, ..base };
+    let mut node = Node::new(Arc::new(cfg), 1);
+    node.jobs_view.page(1);
+    node.jobs_view.listed(0);
+    node.types = vec![a_type()];
+    node
+}
+
+fn allotment(incarnation: u64, jobs: u32) -> Item {
+    let class = ClassRoom { class: "c".into(), jobs, work: 1e6, wait_s: 4 };
+    let allotment = Allotment {
+        team: "t".into(),
+        node: "n0".into(),
+        incarnation,
+        horizon_s: 100.0,
+        classes: vec![class],
+    };
+    let (key, value) = (allotment_key("t", "n0"), encode(&allotment));
+    Item { key, value, stamp: ALLOTMENT_STAMP, loan: None }
+}
+
+/// Submits a job and gives the transaction that would accept it, if there is one, and answers.
+fn submit(node: &mut Node, job: u64, spec: JobSpec) -> (Option<(OpId, StateOp)>, Vec<Effect>) {
+    let input = Input::Submit { req: ReqId(job), job: JobId(job), spec: Box::new(spec) };
+    let effects = node.step(1_000 + job, 0, input);
+    let accepts = |effect: &Effect| match effect {
+        Effect::State { op, call: StateOp::Txn { conds, puts, removes }, .. }
+            if puts.iter().any(|put| put.key.starts_with(ACTIVE)) =>
+        {
+            let (conds, puts, removes) = (conds.clone(), puts.clone(), removes.clone());
+            Some((*op, StateOp::Txn { conds, puts, removes }))
+        }
+        _ => None,
+    };
+    (effects.iter().find_map(accepts), effects)
+}
+
+/// A transaction that is carried out after its allotment has moved on would accept what nobody
+/// counts any more.
+#[test]
+fn an_acceptance_names_the_stamp_of_its_allotment() {
+    let mut node = node(Some(AdmissionPolicy::default()));
+    node.apply(&allotment(1, 9));
+    let (txn, _) = submit(&mut node, 7, a_job(1, true));
+    let Some((_, StateOp::Txn { conds, puts, .. })) = txn else { panic!("not sent") };
+    assert!(conds.contains(&(allotment_key("t", "n0"), ALLOTMENT_STAMP)), "{conds:?}");
+    let record: JobRecord = decode(&puts[0].value).unwrap();
+    assert_eq!(record.by.as_deref(), Some("n0"), "the leader counts it");
+}
+
+#[test]
+fn an_acceptance_whose_allotment_moved_on_waits_for_the_next_one() {
+    let mut node = node(Some(AdmissionPolicy::default()));
+    node.apply(&allotment(1, 9));
+    let (txn, _) = submit(&mut node, 7, a_job(1, true));
+    let failed = vec![allotment_key("t", "n0")];
+    let reply = StateReply::Conflict { failed };
+    let effects = node.step(1_100, 0, Input::State { op: txn.unwrap().0, reply });
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Answer { .. })), "{effects:?}");
+    assert_eq!(node.requests.moved.len(), 1);
+    node.apply(&Item { stamp: 12, ..allotment(1, 9) });
+    let effects = node.step(1_200, 0, Input::Tick);
+    let names = |e: &Effect| match e {
+        Effect::State { call: StateOp::Txn { conds, .. }, .. } => {
+            conds.contains(&(allotment_key("t", "n0"), 12))
+        }
+        _ => false,
+    };
+    assert!(effects.iter().any(names), "{effects:?}");
+}
+
+/// Without an allotment nothing is accepted: before it is known, of an earlier process, used up,
+/// or not to be read.
+#[test]
+fn nothing_is_accepted_without_an_allotment() {
+    let unreadable = Item { value: "[]".into(), ..allotment(1, 9) };
+    for item in [None, Some(allotment(2, 9)), Some(allotment(1, 0)), Some(unreadable)] {
+        let mut node = node(Some(AdmissionPolicy::default()));
+        item.iter().for_each(|item| node.apply(item));
+        let (txn, _) = submit(&mut node, 7, a_job(1, true));
+        assert!(txn.is_none(), "{item:?}");
+    }
+    let (txn, _) = submit(&mut node(None), 7, a_job(1, true));
+    assert!(txn.is_some(), "without the policy everything is");
+}
+
+/// Another node took it, by other limits or while this node had not read of it: a repeat of an
+/// accepted job is never told that it can't run, or that the backlog is full.
+#[test]
+fn a_repeat_of_what_another_node_accepted_is_not_refused() {
+    let too_wide = JobSpec { cpus: 101.0, ..a_job(1, true) };
+    for (policy, spec) in [(None, too_wide), (Some(AdmissionPolicy::default()), a_job(1, true))] {
+        let mut node = node(policy);
+        let (txn, mut effects) = submit(&mut node, 7, spec.clone());
+        assert!(txn.is_none());
+        effects.extend(node.step(1_500, 0, Input::Tick));
+        let answered = |effects: &[Effect]| {
+            effects.iter().any(|e| matches!(e, Effect::Answer { req: ReqId(7), .. }))
+        };
+        assert!(!answered(&effects), "refused before it was looked up");
+        let check = effects.iter().find_map(|e| match e {
+            Effect::State { op, call: StateOp::Txn { conds, puts, .. }, .. }
+                if puts.is_empty() && conds.iter().any(|(key, _)| *key == active_key(JobId(7))) =>
+            {
+                Some(*op)
+            }
+            _ => None,
+        });
+        let failed = vec![active_key(JobId(7))];
+        let reply = StateReply::Conflict { failed };
+        let effects = node.step(1_600, 0, Input::State { op: check.unwrap(), reply });
+        let read = effects.iter().find_map(|e| match e {
+            Effect::State { op, call: StateOp::Get(key), .. } if *key == active_key(JobId(7)) => {
+                Some(*op)
+            }
+            _ => None,
+        });
+        let value = encode(&JobRecord::new(0, spec));
+        let key = active_key(JobId(7));
+        let item = Item { key, value, stamp: ACTIVE_STAMP, loan: None };
+        let reply = StateReply::Found(item);
+        let effects = node.step(1_700, 0, Input::State { op: read.unwrap(), reply });
+        let known = |e: &Effect| {
+            matches!(e, Effect::Answer { req: ReqId(7), answer: Answer::State { .. } })
+        };
+        assert!(effects.iter().any(known), "{effects:?}");
+    }
+}
