Machine types in a part of their own

Cause: `Node` kept six fields about the machine types, and three places changed them.

Change: `machine_types::MachineTypes` owns what is known and which call is due; the node pays and sends. The README's lines about a limit are those that a test plays; the try-out lets two minutes of work wait.

--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod leadership;
 pub mod lease_renewal;
 pub mod limits;
+pub mod machine_types;
 pub mod model;
 pub mod node;
 pub mod placement;
--- a/crates/basaltrail-core/src/node/admission_tests.rs
+++ b/crates/basaltrail-core/src/node/admission_tests.rs
@@ -15,7 +15,7 @@
     let mut node = Node::new(Arc::new(cfg), 1);
     node.jobs_view.page(1);
     node.jobs_view.listed(0);
-    node.types = vec![a_type()];
+    node.types = MachineTypes::of(vec![a_type()]);
     node
 }
 
--- a/crates/basaltrail-core/src/node/mod.rs
+++ b/crates/basaltrail-core/src/node/mod.rs
@@ -8,6 +8,7 @@
 use crate::jobs_view::{JobsView, ViewCall, WatchKind};
 use crate::leadership::{Context, Leadership};
 use crate::lease_renewal::AnswerCounters;
+use crate::machine_types::{MachineTypes, TypesCall};
 use crate::model::*;
 use crate::records::*;
 use crate::requests::{impossible, Ask, Kind, NewJob, NotTaken, RequestQueue};
@@ -42,12 +43,7 @@
     table: Table,
     requests: RequestQueue,
     admission: admission::NodeAdmission,
-    types: Vec<MachineType>,
-    types_kept: bool,
-    types_in_flight: bool,
-    types_not_before: Ms,
-    types_stamp: u64,
-    types_dirty: bool,
+    types: MachineTypes,
     jobs_view: JobsView,
     /// Since when this node has had its right without a break.
     entitled_since: Option<Ms>,
@@ -83,12 +79,7 @@
             table: Table::new((cfg.memory_mb * ENDS_PER_MB).max(1000.0) as usize),
             requests: RequestQueue::default(),
             admission: admission::NodeAdmission::new(&cfg),
-            types: Vec::new(),
-            types_kept: false,
-            types_in_flight: false,
-            types_not_before: 0,
-            types_stamp: 0,
-            types_dirty: false,
+            types: MachineTypes::default(),
             jobs_view: JobsView::default(),
             entitled_since: None,
             leadership: None,
@@ -118,7 +109,9 @@
             true => self.cfg.leader_lease_ms(),
             false => self.cfg.lease_ms,
         };
-        self.jobs_view.is_loaded() && !self.types.is_empty() && self.now <= self.state_ok + patience
+        self.jobs_view.is_loaded()
+            && !self.types.known().is_empty()
+            && self.now <= self.state_ok + patience
     }
 
     pub fn leading(&self) -> bool {
@@ -161,7 +154,7 @@
         let leadership = self.leadership.as_mut()?;
         let ctx = Context {
             cfg: &self.cfg,
-            types: &self.types,
+            types: self.types.known(),
             table: &self.table,
             now: self.now,
             wall: self.wall,
@@ -252,7 +245,7 @@
             self.calls.log(Level::Info, "elected", format!("token={}", l.token.0));
             let ctx = Context {
                 cfg: &self.cfg,
-                types: &self.types,
+                types: self.types.known(),
                 table: &self.table,
                 now: self.now,
                 wall: self.wall,
@@ -314,37 +307,38 @@
         self.calls.state(Purpose::JobsList { part, after, sent }, op, patience);
     }
 
+    /// Reads, keeps or asks for the machine types, if that is due and can be paid.
     fn types_view(&mut self) {
-        if self.types_in_flight || self.now < self.types_not_before {
-            return;
-        }
+        let leads = self.leadership.is_some();
+        let Some(call) = self.types.call_due(self.now, self.cfg.value_bytes, leads) else { return };
         let timeout = self.cfg.lease_ms / 3;
-        if !self.types_kept {
-            if self.calls.pay(self.now, Class::Request) {
-                self.types_in_flight = true;
-                let op = StateOp::Get(TYPES.into());
-                self.calls.state(Purpose::TypesKept, op, timeout);
+        match call {
+            TypesCall::ReadKept => {
+                if self.calls.pay(self.now, Class::Request) {
+                    self.types.sent();
+                    let op = StateOp::Get(TYPES.into());
+                    self.calls.state(Purpose::TypesKept, op, timeout);
+                }
             }
-        } else if self.types_dirty && encode(&self.types).len() > self.cfg.value_bytes {
-            // Too many to keep: every node asks the cloud.
-            self.types_dirty = false;
-        } else if self.types_dirty {
-            if self.calls.pay(self.now, Class::Request)
-                && self.calls.writes.take(self.now, 1.0, Class::Request)
-            {
-                self.types_in_flight = true;
-                let op = StateOp::Txn {
-                    conds: vec![(TYPES.into(), self.types_stamp)],
-                    puts: vec![Put { key: TYPES.into(), value: encode(&self.types), loan: None }],
-                    removes: Vec::new(),
-                };
-                self.calls.state(Purpose::TypesPut, op, timeout);
+            TypesCall::Keep { value, stamp } => {
+                if self.calls.pay(self.now, Class::Request)
+                    && self.calls.writes.take(self.now, 1.0, Class::Request)
+                {
+                    self.types.sent();
+                    let op = StateOp::Txn {
+                        conds: vec![(TYPES.into(), stamp)],
+                        puts: vec![Put { key: TYPES.into(), value, loan: None }],
+                        removes: Vec::new(),
+                    };
+                    self.calls.state(Purpose::TypesPut, op, timeout);
+                }
+            }
+            TypesCall::AskCloud => {
+                if self.calls.cloud.take(self.now, 1.0, Class::Lease) {
+                    self.types.sent();
+                    self.calls.cloud(Purpose::Types, CloudOp::Types, timeout);
+                }
             }
-        } else if (self.types.is_empty() || self.leadership.is_some())
-            && self.calls.cloud.take(self.now, 1.0, Class::Lease)
-        {
-            self.types_in_flight = true;
-            self.calls.cloud(Purpose::Types, CloudOp::Types, timeout);
         }
     }
 
--- a/crates/basaltrail-core/src/node/replies.rs
+++ b/crates/basaltrail-core/src/node/replies.rs
@@ -118,30 +118,8 @@
                 StateReply::Conflict { .. } => self.requests.reads.push((job, asks)),
                 _ => self.busy(asks, 1, "not decided"),
             },
-            Purpose::TypesKept => {
-                self.types_in_flight = false;
-                match reply {
-                    StateReply::Found(item) => {
-                        self.types_kept = true;
-                        self.types_stamp = item.stamp;
-                        if let (true, Some(t)) = (self.types.is_empty(), decode(&item.value)) {
-                            self.types = t;
-                        }
-                    }
-                    StateReply::Missing => {
-                        self.types_kept = true;
-                        self.types_stamp = 0;
-                    }
-                    _ => self.types_not_before = self.now + self.cfg.report_ms / 4,
-                }
-            }
-            Purpose::TypesPut => {
-                self.types_in_flight = false;
-                self.types_dirty = false;
-                if !matches!(reply, StateReply::Committed { .. }) {
-                    self.types_kept = false; // read what is there
-                }
-            }
+            Purpose::TypesKept => self.types.read(reply, self.now + self.cfg.report_ms / 4),
+            Purpose::TypesPut => self.types.written(&reply),
             Purpose::Load { token } => {
                 self.with_leadership(|leadership, ctx, calls, _| {
                     if leadership.token == token {
@@ -351,21 +329,8 @@
         let Some(purpose) = self.calls.take(op) else { return };
         match purpose {
             Purpose::Types => {
-                self.types_in_flight = false;
-                self.types_not_before = self.now + self.cfg.lease_ms / 8;
-                if let CloudReply::Types(types) = reply {
-                    self.types_not_before = self.now + self.cfg.lease_ms * 6;
-                    let shape = |t: &MachineType| {
-                        (t.name.clone(), t.cpus, t.gpus, t.memory_gb, t.zones.clone())
-                    };
-                    // Prices move all the time; only what decides a submission is kept.
-                    let same = types.len() == self.types.len()
-                        && types.iter().zip(&self.types).all(|(a, b)| shape(a) == shape(b));
-                    if !types.is_empty() {
-                        self.types_dirty |= !same || self.types_stamp == 0;
-                        self.types = types;
-                    }
-                }
+                let (retry, next) = (self.cfg.lease_ms / 8, self.cfg.lease_ms * 6);
+                self.types.told(reply, self.now + retry, self.now + next);
             }
             Purpose::Rent { token, requisition } => {
                 self.with_leadership(|leadership, ctx, calls, _| {
--- a/crates/basaltrail-core/src/node/tests.rs
+++ b/crates/basaltrail-core/src/node/tests.rs
@@ -8,7 +8,7 @@
     let mut n = Node::new(Arc::new(settings()), 1);
     n.jobs_view.page(1);
     n.jobs_view.listed(0);
-    n.types = vec![a_type()];
+    n.types = MachineTypes::of(vec![a_type()]);
     n.state_ok = 10_000;
     let mut ready_at = |now, leader_heard| {
         (n.now, n.leader_heard) = (now, leader_heard);
--- a/crates/basaltrail-core/src/node/users.rs
+++ b/crates/basaltrail-core/src/node/users.rs
@@ -125,10 +125,10 @@
         if self.table.active.contains_key(&job) {
             return self.requests.check(self.now, job, ask);
         }
-        if self.types.is_empty() {
+        if self.types.known().is_empty() {
             return self.calls.answer(req, Answer::Busy { retry_s: 1, why: "types unknown" });
         }
-        if let Some(why) = impossible(&self.cfg, &self.types, &spec) {
+        if let Some(why) = impossible(&self.cfg, self.types.known(), &spec) {
             let refused = Some(NotTaken::Impossible(why));
             return self.requests.check(self.now, job, Ask { refused, ..ask });
         }
--- a/crates/basaltrail-testbed/src/commands/serve.rs
+++ b/crates/basaltrail-testbed/src/commands/serve.rs
@@ -12,7 +12,7 @@
 
 /// What the operators of the try-out set, unless a policy file is named: little may wait, so that
 /// a refusal is soon seen.
-const TRY_OUT: &str = "(admission (backlog-s 30)) (guarantee-leases 2)";
+const TRY_OUT: &str = "(admission (backlog-s 120)) (guarantee-leases 2)";
 
 #[derive(Args)]
 pub struct Arguments {
--- a/crates/basaltrail/tests/inspect.rs
+++ b/crates/basaltrail/tests/inspect.rs
@@ -8,6 +8,7 @@
 use std::process::Output;
 use std::time::Duration;
 
+const README: &str = include_str!("../../../README.md");
 const PATIENCE: Duration = Duration::from_secs(5);
 
 async fn basaltrail(arguments: &[&str]) -> Output {
@@ -20,13 +21,12 @@
     serde_json::from_slice(&output.stdout).ok()
 }
 
+/// The submission of the README's section about limits, with a number in place of the loop's.
 fn submission(number: u32) -> String {
-    json!({"nameId": format!("job-{number:06}"), "shelf": "c", "desk": "buyers",
-        "binding": "array", "precedence": "standard", "leaves": 4, "vcpus": 8.0, "gpus": 0.0,
-        "ramGb": 1.0, "edition": "i", "sizeGb": 0.1, "formats": null, "room": null,
-        "samePlace": false, "apart": false, "remainders": true, "reckonS": 30.0,
-        "bookmarkS": 0.0, "pressS": 0.0, "dueS": null})
-    .to_string()
+    let (_, section) = README.split_once("## A limit, and a refusal").unwrap();
+    let (_, body) = section.split_once("-d '").unwrap();
+    let (body, _) = body.split_once("'; done").unwrap();
+    body.replace("000'$n'", &format!("{number:06}"))
 }
 
 /// A team submits far more than may wait: it is told to come back, and a repeat of what was
@@ -72,7 +72,8 @@
     let teams = told["teams"].as_array().unwrap();
     let buyers = teams.iter().find(|team| team["team"] == "buyers").unwrap();
     assert!(buyers["refused"].as_u64() >= Some(1) && buyers["used"].is_number(), "{buyers}");
-    let class = buyers["classes"].as_array().unwrap().iter().find(|class| class["class"] == "c");
+    let class =
+        buyers["classes"].as_array().unwrap().iter().find(|class| class["class"] == "prices");
     assert!(class.is_some_and(|class| class["jobs"].as_u64() >= Some(1)), "{buyers}");
     let table = basaltrail(&["inspect", "limits", "--at", &administration.to_string()]).await;
     let table = String::from_utf8(table.stdout).unwrap();
