Admission: a node whose lost acceptances used up its allotment asks for another

Cause: an acceptance without an answer counts as used at its node; if it was not carried out, the leader takes it for unspent and never replaces the record. A node alone with the state service out for a moment would have refused that team for ever. Found by reading.

Change: such a node writes its own record again, once a round at most; a record newer than the allotment asks the leader for another.

--- a/crates/basaltrail-admission/src/gate.rs
+++ b/crates/basaltrail-admission/src/gate.rs
@@ -183,6 +183,19 @@
         self.admit(view, ticket.demand)
     }
 
+    /// Whether this node has used up what the leader takes for unspent. What became of some
+    /// acceptances was never heard, and they were not carried out; or jobs that were accepted
+    /// and have ended were never read of. The leader does not replace the record by itself.
+    pub fn is_misjudged(&self, view: &View, team: &str) -> bool {
+        let Some(held) = view.held(team, &self.node) else { return false };
+        let left = self.left(view, team);
+        left.iter().enumerate().any(|(entry, left)| {
+            !left.is_open()
+                && held.allotment.classes[entry].room().is_open()
+                && held.unspent(entry).is_open()
+        })
+    }
+
     /// What is left of a team's allotment here, by entry.
     pub fn left(&self, view: &View, team: &str) -> Vec<Room> {
         let held = view.held(team, &self.node);
--- a/crates/basaltrail-admission/src/planner.rs
+++ b/crates/basaltrail-admission/src/planner.rs
@@ -236,7 +236,17 @@
                 .collect();
             let held = view.held(&team.team, node);
             let held = held.filter(|held| held.allotment.incarnation == *incarnation);
-            if !self.is_worn(team, node, held, &classes, &targets, &left) {
+            let key = (team.team.clone(), (*node).to_string());
+            let replace = match self.pending.get(&key) {
+                // What became of the last write shows in the view, or is settled by another.
+                Some(pending) => pending.uncertain,
+                None => held.is_none_or(|held| {
+                    !held.complete
+                        || view.asks_again(held)
+                        || is_worn(held, &classes, &targets, &left)
+                }),
+            };
+            if !replace {
                 continue;
             }
             let replaces = view.held(&team.team, node).map_or(0, |held| held.stamp);
@@ -257,38 +267,23 @@
         }
         grants
     }
+}
 
-    /// Whether a node's record is to be replaced: it has none, it is not known what was used of
-    /// it, or it holds far less or far more than it should.
-    fn is_worn(
-        &self,
-        team: &TeamLoad,
-        node: &str,
-        held: Option<&Held>,
-        classes: &[ClassLoad],
-        targets: &[Room],
-        left: &[Room],
-    ) -> bool {
-        let key = (team.team.clone(), node.to_string());
-        if let Some(pending) = self.pending.get(&key) {
-            return pending.uncertain;
-        }
-        let Some(held) = held.filter(|held| held.complete) else { return true };
-        classes.iter().enumerate().any(|(at, load)| {
-            let Some(entry) = held.allotment.classes.iter().position(|c| c.class == load.class)
-            else {
-                return true;
-            };
-            let has = held.unspent(entry);
-            let should = targets[at];
-            let can = should.min(left[at]);
-            let jobs = |room: Room| f64::from(room.jobs);
-            let few = (jobs(has) < jobs(should) * WORN && can.jobs > has.jobs)
-                || (has.work < should.work * WORN && can.work > has.work);
-            let many = jobs(has) * WORN > jobs(should) + 1.0 || has.work * WORN > should.work + 1.0;
-            few || many
-        })
-    }
+/// Whether a record holds far less or far more than it should.
+fn is_worn(held: &Held, classes: &[ClassLoad], targets: &[Room], left: &[Room]) -> bool {
+    classes.iter().enumerate().any(|(at, load)| {
+        let Some(entry) = held.allotment.classes.iter().position(|c| c.class == load.class) else {
+            return true;
+        };
+        let has = held.unspent(entry);
+        let should = targets[at];
+        let can = should.min(left[at]);
+        let jobs = |room: Room| f64::from(room.jobs);
+        let few = (jobs(has) < jobs(should) * WORN && can.jobs > has.jobs)
+            || (has.work < should.work * WORN && can.work > has.work);
+        let many = jobs(has) * WORN > jobs(should) + 1.0 || has.work * WORN > should.work + 1.0;
+        few || many
+    })
 }
 
 fn unspent_of(held: &Held, class: &str) -> Room {
--- a/crates/basaltrail-admission/src/view.rs
+++ b/crates/basaltrail-admission/src/view.rs
@@ -129,6 +129,13 @@
         self.nodes.iter().map(|(node, presence)| (node.as_str(), presence.incarnation))
     }
 
+    /// Whether a node's process has written its record again since its allotment of a team was
+    /// written: it asks for another one.
+    pub fn asks_again(&self, held: &Held) -> bool {
+        let presence = self.nodes.get(&held.allotment.node);
+        presence.is_some_and(|presence| presence.stamp > held.stamp)
+    }
+
     /// The names of all nodes.
     pub fn node_names(&self) -> Vec<String> {
         self.nodes.keys().cloned().collect()
--- a/crates/basaltrail-admission/tests/planner.rs
+++ b/crates/basaltrail-admission/tests/planner.rs
@@ -170,3 +170,18 @@
     }
     assert!(granted.jobs <= bound, "{} of {bound}", granted.jobs);
 }
+
+#[test]
+fn a_node_that_asks_again_gets_another_record() {
+    let mut view = nodes(2);
+    let mut planner = Planner::default();
+    let team = [load("t", &[("c", 0)])];
+    let first = planner.plan(&view, &BOUNDS, &team);
+    first.iter().for_each(|grant| planner.written(grant, Written::Done));
+    arrive(&mut view, &first, 10);
+    assert!(planner.plan(&view, &BOUNDS, &team).is_empty());
+    view.learn_node("n1", 1, 50);
+    let second = planner.plan(&view, &BOUNDS, &team);
+    assert_eq!(second.len(), 1);
+    assert_eq!((second[0].allotment.node.as_str(), second[0].replaces), ("n1", 11));
+}
--- a/crates/basaltrail-core/src/node/admission.rs
+++ b/crates/basaltrail-core/src/node/admission.rs
@@ -14,6 +14,10 @@
     /// A record of this process is on its way.
     announcing: bool,
     next_announcement: Ms,
+    /// An allotment is used up here and not for the leader: this process writes its record
+    /// again, which asks for another, once a round at most.
+    asks_again: bool,
+    next_ask: Ms,
     /// Submissions told to come back since the last line about it, by reason.
     refused: BTreeMap<Reason, u64>,
     /// The same by team, since the process began.
@@ -37,6 +41,8 @@
             incarnation: cfg.incarnation,
             announcing: false,
             next_announcement: 0,
+            asks_again: false,
+            next_ask: 0,
             refused: BTreeMap::new(),
             refused_by_team: vec![0; cfg.teams.len()],
             next_log: 0,
@@ -49,7 +55,11 @@
     }
 
     pub(super) fn admit(&mut self, table: &Table, spec: &JobSpec) -> Result<Ticket, Refusal> {
-        self.gate.admit(&table.admission, spec.demand())
+        let admitted = self.gate.admit(&table.admission, spec.demand());
+        if matches!(admitted, Err(Refusal { reason: Reason::Full, .. })) {
+            self.asks_again |= self.gate.is_misjudged(&table.admission, &spec.team);
+        }
+        admitted
     }
 
     pub(super) fn is_current(&self, table: &Table, new: &NewJob) -> bool {
@@ -94,13 +104,19 @@
     fn announcement_due(&self, table: &Table, now: Ms) -> bool {
         let known = table.admission.presence(&self.node);
         let told = known.is_some_and(|(incarnation, _)| incarnation == self.incarnation);
-        self.binds() && !told && !self.announcing && now >= self.next_announcement
+        let due = match told {
+            true => self.asks_again && now >= self.next_ask,
+            false => now >= self.next_announcement,
+        };
+        self.binds() && !self.announcing && due
     }
 
     /// Its record was written, or was not: the watch tells.
     pub(super) fn announced(&mut self, now: Ms, cfg: &Settings) {
         self.announcing = false;
+        self.asks_again = false;
         self.next_announcement = now + cfg.report_ms / 4;
+        self.next_ask = now + (cfg.policy.round_s * 1000.0) as Ms;
     }
 
     pub(super) fn refused_of(&self, team: usize) -> u64 {
--- a/crates/basaltrail-core/src/node/admission_tests.rs
+++ b/crates/basaltrail-core/src/node/admission_tests.rs
@@ -139,3 +139,28 @@
         assert!(effects.iter().any(known), "{effects:?}");
     }
 }
+
+/// Acceptances without an answer count as used here, and if they were not carried out, not for
+/// the leader: it would never replace the allotment, and the node would refuse for ever.
+#[test]
+fn a_node_whose_acceptances_were_lost_asks_for_another_allotment() {
+    let mut node = node(Some(AdmissionPolicy::default()));
+    node.table.admission.learn_node("n0", 1, 2);
+    node.apply(&allotment(1, 1));
+    let (txn, _) = submit(&mut node, 7, a_job(1, true));
+    let lost = Input::State { op: txn.unwrap().0, reply: StateReply::Unknown };
+    node.step(1_100, 0, lost);
+    let (txn, effects) = submit(&mut node, 200, a_job(1, true));
+    assert!(txn.is_none(), "the allotment is used up");
+    let announces = |e: &Effect| match e {
+        Effect::State { call: StateOp::Txn { conds, puts, .. }, .. } => {
+            conds.contains(&(node_key("n0"), 2)) && puts.iter().any(|p| p.key == node_key("n0"))
+        }
+        _ => false,
+    };
+    assert!(effects.iter().any(announces), "{effects:?}");
+    // The leader takes the record for a wish, since it is newer than the allotment.
+    node.table.admission.learn_node("n0", 1, 11);
+    let held = node.table.admission.held("t", "n0").unwrap();
+    assert!(node.table.admission.asks_again(held));
+}
