--- a/review/standins.py
+++ b/review/standins.py
@@ -111,14 +111,19 @@
 
 
 class Effect:
-    """What the hook of the state service does to one request. `delay_s` delays the answer of a
-    request that was carried out at once; `lost` sends no answer to it; `after` is called once the
-    request was carried out, before the answer is sent. `refuse` answers 503 without carrying it
-    out. `sent` is called once a delay is over, as the answer is sent."""
+    """What the hook of the state service does to one request.
 
-    def __init__(self, delay_s=0.0, lost=False, after=None, refuse=False, sent=None):
-        self.delay_s, self.lost, self.after = delay_s, lost, after
-        self.refuse, self.sent = refuse, sent
+    refuse: answers 503 and does not carry the request out.
+    after: called with the status and the answer once the request was carried out, before the answer
+        is sent.
+    lost: sends no answer to a request that was carried out.
+    delay_s: sends the answer to a request that was carried out this much later.
+    sent: called when the delay is over, as the answer is sent.
+    """
+
+    def __init__(self, refuse=False, after=None, lost=False, delay_s=0.0, sent=None):
+        self.refuse, self.after, self.lost = refuse, after, lost
+        self.delay_s, self.sent = delay_s, sent
 
 
 class StateService:
@@ -909,7 +914,8 @@
             result["not run"] = f"{type(error).__name__}: {error}"
 
     thread = threading.Thread(target=run, daemon=True)
-    signal.signal(signal.SIGTERM, lambda *_: result.setdefault("not run", "terminated"))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: result.setdefault("not run", "terminated"))
     thread.start()
     while thread.is_alive() and not result and now() < 115:
         thread.join(0.1)
