--- a/review/standins.py
+++ b/review/standins.py
@@ -656,8 +656,8 @@
 class Controllers:
     """Processes of the real program, started with the command of the deploy file."""
 
-    def __init__(self, directory):
-        self.directory = directory
+    def __init__(self):
+        self.directory = None  # of the settings and the logs
         self.settings, self.processes, self.ports = {}, {}, {}
         with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as file:
             lines = [line.split("=", 1) for line in file if "=" in line]
@@ -722,14 +722,15 @@
                  cpus_max=None):
         """`zones` has the zone of each controller, `machines` the zone of each machine. The team is
         guaranteed all machines, or its limit `cpus_max` if that is less."""
+        self.controllers = Controllers()
         self.directory = tempfile.mkdtemp(prefix="basaltrail-review-")
+        self.controllers.directory = self.directory
         self.cancel_s = cancel_s
         self.names = [f"stack-{i}" for i in range(len(zones))]
         self.zone_of = dict(zip(self.names, zones))
         self.state = StateService(120.0, 40.0, 16.0, 24, hook)
         self.cloud = Cloud(self.TYPE, 3.0)
         self.jobs = Jobs()
-        self.controllers = Controllers(self.directory)
         cloud_port = port_of(self.cloud.listen())
         listen = {name: (free_port(), free_port()) for name in self.names}
         self.cpus_max = cpus_max or len(machines) * 32.0
