Review: hold the ports, listen for direct commands, and look for room all the time

The workers' stand-ins did not answer direct commands, which PROTOCOL lets them get, and case 3 looked for room at the end of the 90 s only.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -39,25 +39,35 @@
         return [name for name in SMALL
                 if not any(i[0] == f"{name}/0" for w in deployment.workers for i in w.intervals)]
 
-    while waiting() and now() < accepted + BOUND_S:
+    # The time counts as long as a small job waits, the team's limit has room for one task more and a
+    # machine has room for it. It begins anew whenever there is no such room.
+    since = now()
+    while waiting() and now() < since + BOUND_S:
+        used, room = use(deployment)
+        if used + 2.0 > LIMIT_CPUS or not room:
+            since = now()
         time.sleep(0.1)
-    waited, left = now() - accepted, waiting()
+    waited, left = now() - since, waiting()
     for name in deployment.jobs.specs:
         deployment.call("stack-0", "GET", f"/api/jobs/{name}")
-    used, free = use(deployment)
-    RECORD.add(f"{waited:.1f} s after the last acceptance: waiting {left}; the team uses {used} of "
-               f"{LIMIT_CPUS} CPUs; CPUs free on the machines: {free}")
-    # A job counts only if the team's limit and a machine have room for its task.
-    if used + 2.0 > LIMIT_CPUS or max(free) < 2.0:
+    used, room = use(deployment)
+    RECORD.add(f"{now() - accepted:.1f} s after the last acceptance: waiting {left}; the team uses "
+               f"{used} of {LIMIT_CPUS} CPUs; machines with room for a task: {room}")
+    if waited < BOUND_S:
         return []
     return [f"{name} was left waiting for {waited:.1f} s while its team used {used} of {LIMIT_CPUS} "
-            f"CPUs and machines had {free} CPUs free" for name in left]
+            f"CPUs and {', '.join(room)} had room" for name in left]
 
 
 def use(deployment):
-    """Returns the CPUs that the team uses, and those that are free on each machine."""
-    used = [worker.used_cpus() for worker in deployment.workers]
-    return sum(used), [worker.type["vcpus"] - cpus for worker, cpus in zip(deployment.workers, used)]
+    """Returns the CPUs that the team uses, and the machines with room for a small job's task."""
+    used, room = 0.0, []
+    for worker in deployment.workers:
+        cpus, memory = worker.used("vcpus"), worker.used("ramGb")
+        used += cpus
+        if cpus + 2.0 <= worker.type["vcpus"] and memory + 9.4 <= worker.type["ramGb"]:
+            room.append(worker.name)
+    return used, room
 
 
 main(case, HERE)
--- a/review/standins.py
+++ b/review/standins.py
@@ -406,8 +406,8 @@
 
 
 class Worker:
-    """PROTOCOL, "Workers -> controller nodes": one machine with its worker. Controllers send no
-    direct commands, so it does not listen for them."""
+    """PROTOCOL, "Workers -> controller nodes": one machine with its worker. It also answers
+    direct commands, whether or not it reaches a controller."""
 
     ANSWER_TIMEOUT_S = 4.0
 
@@ -415,7 +415,7 @@
         self.name, self.zone, self.type, self.jobs = name, zone, machine_type, jobs
         self.controllers = controllers  # [(name, port)]
         self.report_s, self.lease_s = report_s, lease_s
-        self.endpoint = "127.0.0.1:1"
+        self.endpoint = f"127.0.0.1:{port_of(serve(self.direct))}"
         self.target, self.connection = first, None
         self.session, self.number, self.token = 1, 0, 0
         self.lease_start = now()
@@ -455,6 +455,27 @@
                     self.leave(attempt, self.gone_at, "machine gone")
                 RECORD.add(f"{self.name} is gone")
 
+    # Direct commands.
+
+    def direct(self, method, path, query, body):
+        with self.lock:
+            self.advance(now())
+            if self.gone_at is not None:
+                return None
+            status = 200
+            if path == "/do":
+                RECORD.add(f"{self.name} direct command {json.dumps(body)}")
+                token, session = body.get("warrant"), body.get("tenure")
+                if token is None or session is None:
+                    return 400, {"error": "warrant or tenure"}
+                if token < self.token or session != self.session:
+                    status = 409
+                else:
+                    self.token = token
+                    for order in body.get("orders") or []:
+                        self.command(order, now())
+            return status, self.report()
+
     # Tasks.
 
     def enter(self, attempt, at):
@@ -510,9 +531,11 @@
         else:
             self.finish(attempt, at, "done")
 
-    def used_cpus(self):
-        return sum(self.jobs.specs[a.task.split("/")[0]]["vcpus"]
-                   for a in self.attempts.values() if a.condition != "ended")
+    def used(self, amount):
+        """Returns what the tasks take of `vcpus` or `ramGb`; fetching tasks count."""
+        with self.lock:
+            return sum(self.jobs.specs[a.task.split("/")[0]][amount]
+                       for a in self.attempts.values() if a.condition != "ended")
 
     def command(self, order, at):
         name, key = order["order"], (order["leaf"], order["printing"])
@@ -532,7 +555,7 @@
                 self.finish(attempt, at, "unknown")
             elif any(a.condition != "ended" for a in others):
                 self.finish(attempt, at, "in_use")
-            elif self.used_cpus() > self.type["vcpus"]:
+            elif any(self.used(amount) > self.type[amount] for amount in ("vcpus", "ramGb")):
                 self.finish(attempt, at, "no_room")
             else:
                 cached = spec["edition"] in self.images
@@ -659,6 +682,7 @@
     def __init__(self):
         self.directory = None  # of the settings and the logs
         self.settings, self.processes, self.ports = {}, {}, {}
+        self.lock, self.stopped = threading.Lock(), False
         with open(os.path.join(ROOT, "deploy", "service.toml"), encoding="utf-8") as file:
             lines = [line.split("=", 1) for line in file if "=" in line]
         values = {key.strip(): value.strip().strip('"') for key, value in lines}
@@ -675,16 +699,20 @@
     def start(self, name):
         log = open(os.path.join(self.directory, f"{name}.log"), "ab")
         environment = dict(os.environ, LOG_LEVEL=os.environ.get("LOG_LEVEL", "info"))
-        self.processes[name] = subprocess.Popen(
-            self.command + [self.settings[name]], cwd=ROOT, stdin=subprocess.DEVNULL,
-            stdout=subprocess.DEVNULL, stderr=log, env=environment)
+        with self.lock:
+            if self.stopped:
+                raise CannotRun("the case has ended")
+            self.processes[name] = subprocess.Popen(
+                self.command + [self.settings[name]], cwd=ROOT, stdin=subprocess.DEVNULL,
+                stdout=subprocess.DEVNULL, stderr=log, env=environment)
         log.close()
         RECORD.add(f"controller {name} started, port {self.ports[name]}")
 
     def kill(self, name):
-        process = self.processes.pop(name)
-        process.kill()
-        process.wait()
+        with self.lock:
+            process = self.processes.pop(name)
+            process.kill()
+            process.wait()
         RECORD.add(f"TROUBLE controller {name} killed")
 
     def signal(self, name, number):
@@ -692,9 +720,11 @@
         RECORD.add(f"TROUBLE controller {name} got {signal.Signals(number).name}")
 
     def stop(self):
-        for process in self.processes.values():
-            process.kill()
-            process.wait()
+        with self.lock:
+            self.stopped = True
+            for process in self.processes.values():
+                process.kill()
+                process.wait()
 
     def log_lines(self):
         for name in self.settings:
@@ -705,10 +735,25 @@
                         yield f"{name}: {line.rstrip()}"
 
 
+HELD_PORTS = []
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a free port and holds it for the controller: a socket is bound there that does not listen
+    and lets another one bind that also reuses the address, as the controllers do. The port is below
+    those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(10_000, 30_000)
+        try:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+            held = socket.socket()
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            held.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        HELD_PORTS.append(held)
+        return port
 
 
 class Deployment:
@@ -830,6 +875,8 @@
         until = now() + timeout_s
         for name in names or self.names:
             while self.call(name, "GET", "/ready", timeout_s=1.0)[0] != 200:
+                if self.controllers.processes[name].poll() is not None:
+                    raise CannotRun(f"{name} ended at its start")
                 if now() > until:
                     raise CannotRun(f"{name} is not ready")
                 time.sleep(0.1)
