Log the lease expiry of machines that this leader has not heard from

`machine_lease_expired` was written only for machines whose heartbeats this leader had applied, and no line said how long loading took or whether workers were answered in that time. So a lease counted from too early a time, a termination without a proof and a machine missing from the registry looked the same.

Change: the expiry is also logged for machines that may run tasks of an earlier leader, with `unrenewed_ms`, the time since the last recorded renewal. `leading` has `took_ms` and `answered_machines`.

--- a/crates/basaltrail-core/src/events.rs
+++ b/crates/basaltrail-core/src/events.rs
@@ -98,6 +98,10 @@
         machines: usize,
         /// Active jobs.
         jobs: usize,
+        /// Milliseconds since the election, which loading took.
+        took_ms: Ms,
+        /// Machines whose heartbeats were answered while the records were loaded.
+        answered_machines: usize,
     },
     /// This controller is no longer the leader.
     Deposed {
@@ -230,6 +234,9 @@
         zone: String,
         /// Task slots that were in use.
         tasks: usize,
+        /// Milliseconds since this leader last recorded an answer that may have renewed the lease,
+        /// or since its election if it recorded none.
+        unrenewed_ms: Ms,
     },
     /// A machine accepts no new tasks and is terminated once it is empty.
     Draining {
--- a/crates/basaltrail-core/src/leader/failover/loading_answers.rs
+++ b/crates/basaltrail-core/src/leader/failover/loading_answers.rs
@@ -66,6 +66,11 @@
         }
     }
 
+    /// Returns the number of machines that were answered.
+    pub(in crate::leader) fn machine_count(&self) -> usize {
+        self.by_machine.len()
+    }
+
     /// Removes all recorded answers once the machines record answers themselves.
     pub(in crate::leader) fn clear(&mut self) {
         self.by_machine.clear();
--- a/crates/basaltrail-core/src/leader/failover/recovery.rs
+++ b/crates/basaltrail-core/src/leader/failover/recovery.rs
@@ -54,9 +54,9 @@
             }
             (LoadStage::Ledger, StoreReply::KeyValue(item)) => {
                 self.recover_ledger(ctx, &item);
-                self.complete_loading(calls);
+                self.complete_loading(ctx, calls);
             }
-            (LoadStage::Ledger, StoreReply::NotFound) => self.complete_loading(calls),
+            (LoadStage::Ledger, StoreReply::NotFound) => self.complete_loading(ctx, calls),
             _ => self.failover.record_request_failed(ctx.now + ctx.cfg.leader_lease_ms() / 20),
         }
     }
@@ -96,8 +96,9 @@
 
     /// Completes loading and applies the recovered state to the jobs. Scheduling may begin
     /// afterwards.
-    fn complete_loading(&mut self, calls: &mut Calls) {
+    fn complete_loading(&mut self, ctx: &Context, calls: &mut Calls) {
         self.failover.load_stage = LoadStage::Complete;
+        let answered_machines = self.failover.loading_answers.machine_count();
         self.failover.loading_answers.clear();
         for job in self.cluster.jobs.values_mut() {
             if self.failover.recover_job(job) {
@@ -109,6 +110,8 @@
             token: self.token,
             machines: self.cluster.machines.len(),
             jobs: self.cluster.jobs.len(),
+            took_ms: ctx.now - self.elected_at,
+            answered_machines,
         });
     }
 
--- a/crates/basaltrail-core/src/leader/mod.rs
+++ b/crates/basaltrail-core/src/leader/mod.rs
@@ -206,11 +206,13 @@
     fn expire_machine_lease(&mut self, ctx: &Context, calls: &mut Calls, id: &MachineId) {
         let Some(machine) = self.cluster.machines.get_mut(id) else { return };
         let tasks = machine.slots.len();
-        let had_heartbeat = machine.last_heartbeat_at.is_some();
+        let unrenewed_ms = ctx.now - machine.lease_renewed_at;
+        let may_have_run_tasks =
+            machine.last_heartbeat_at.is_some() || !machine.reconciled || tasks > 0;
         let changes = machine.expire_lease();
-        if had_heartbeat || tasks > 0 {
+        if may_have_run_tasks {
             let (machine, zone) = (id.clone(), machine.zone.clone());
-            calls.log(MachineEvent::LeaseExpired { machine, zone, tasks });
+            calls.log(MachineEvent::LeaseExpired { machine, zone, tasks, unrenewed_ms });
         }
         self.scheduler.cycle_due = true;
         self.reconcile_all(ctx, calls, id, changes);
--- a/crates/basaltrail/src/logging.rs
+++ b/crates/basaltrail/src/logging.rs
@@ -64,9 +64,14 @@
 fn write_leadership(event: &LeadershipEvent) {
     match event {
         LeadershipEvent::Elected { token } => info!(event = %"elected", token = token.0),
-        LeadershipEvent::Leading { token, machines, jobs } => {
-            info!(event = %"leading", token = token.0, machines, jobs);
-        }
+        LeadershipEvent::Leading { token, machines, jobs, took_ms, answered_machines } => info!(
+            event = %"leading",
+            token = token.0,
+            machines,
+            jobs,
+            took_ms,
+            answered_machines,
+        ),
         LeadershipEvent::Deposed { token } => info!(event = %"deposed", token = token.0),
         LeadershipEvent::Resigned { reason } => {
             info!(event = %"resigned", reason = %reason.name());
@@ -109,9 +114,13 @@
         MachineEvent::ReclaimNotice { machine } => {
             info!(event = %"machine_reclaim_notice", machine = %machine);
         }
-        MachineEvent::LeaseExpired { machine, zone, tasks } => {
-            info!(event = %"machine_lease_expired", machine = %machine, zone = %zone, tasks);
-        }
+        MachineEvent::LeaseExpired { machine, zone, tasks, unrenewed_ms } => info!(
+            event = %"machine_lease_expired",
+            machine = %machine,
+            zone = %zone,
+            tasks,
+            unrenewed_ms,
+        ),
         MachineEvent::Draining { machine, reason } => {
             info!(event = %"machine_draining", machine = %machine, reason = %reason.name());
         }
--- a/crates/basaltrail/src/logging_tests.rs
+++ b/crates/basaltrail/src/logging_tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use basaltrail_core::events::TerminationReason;
-use basaltrail_core::{JobId, MachineId, Revision, TaskId};
+use basaltrail_core::{FencingToken, JobId, MachineId, Revision, TaskId};
 use std::io::{self, Write};
 use std::sync::{Arc, Mutex};
 
@@ -38,6 +38,13 @@
         HeartbeatEvent::RenewalViolation { machine: machine.clone(), task }.into(),
         MachineEvent::ScaleIn { machine: machine.clone(), reason: TerminationReason::NeverUp }
             .into(),
+        MachineEvent::LeaseExpired {
+            machine: machine.clone(),
+            zone: "a".into(),
+            tasks: 2,
+            unrenewed_ms: 10_100,
+        }
+        .into(),
         JobEvent::TaskFailed { task, machine, crash_looping: true, ran_ms: 20 }.into(),
         LeadershipEvent::LeaderSeen {
             leader: None,
@@ -45,12 +52,22 @@
             revision: Revision(4),
         }
         .into(),
+        LeadershipEvent::Leading {
+            token: FencingToken(3),
+            machines: 4,
+            jobs: 1,
+            took_ms: 5_199,
+            answered_machines: 2,
+        }
+        .into(),
     ];
     let expected = "\
 ERROR event=renewal_violation machine=m-000001 job=000007 task=3
  INFO event=scale_in machine=m-000001 reason=never_up
+ INFO event=machine_lease_expired machine=m-000001 zone=a tasks=2 unrenewed_ms=10100
  INFO event=task_failed job=000007 task=3 machine=m-000001 crash_looping=true ran_ms=20
  INFO event=leader_seen leader=none term=0 revision=4
+ INFO event=leading token=3 machines=4 jobs=1 took_ms=5199 answered_machines=2
 ";
     assert_eq!(write_to_string(&events), expected);
 }
