Count every lease that a new leader renews while it loads

A leader ended, the state service was away just after its successor had read the machine registry, and a worker that the successor had answered in that time then reached no controller.

Cause: answers given while the records of earlier leaders are read are kept apart from the machines. They were applied to a machine when its registry segment was read, and cleared when loading ended. Answers between these two steps (further registry pages, completion records, ledger) were in no machine, so its lease counted from the election.

Change: the answers stay in one place until the last record is read, and are moved into the machines in the step that completes loading. From that step on the machines record answers themselves, so there is no moment between the two, whatever the stages and pages. The traces can hold reads of the completion records and of the ledger.

--- a/crates/basaltrail-core/src/leader/failover/loading_answers.rs
+++ b/crates/basaltrail-core/src/leader/failover/loading_answers.rs
@@ -5,7 +5,7 @@
 use crate::machines::machine::MAX_ANSWERS_WITHOUT_TOKEN;
 use crate::machines::Machine;
 use crate::model::{FencingToken, Heartbeat, MachineId, Ms};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Answers given to one machine.
 #[derive(Default)]
@@ -20,8 +20,9 @@
 ///
 /// The answers renew the workers' leases. If heartbeats were refused instead, all leases would
 /// expire when the state service is slow or fails just after the election. The answers start no
-/// tasks, and the leases that they may have renewed are recorded in the machines once the machine
-/// registry is read.
+/// tasks. All answers of a term are kept here until every record is read, and are then moved into
+/// the machines in the same step in which these begin to record answers themselves. So no answer is
+/// forgotten, whichever record was being read when it was given.
 #[derive(Default)]
 pub(in crate::leader) struct LoadingAnswers {
     by_machine: HashMap<MachineId, MachineAnswers>,
@@ -58,21 +59,18 @@
         Ok(permit.answer(token, Vec::new()))
     }
 
-    /// Applies the recorded answers to a machine read from the machine registry.
-    pub(in crate::leader) fn apply_to(&self, machine: &mut Machine) {
-        if let Some(answers) = self.by_machine.get(&machine.id) {
-            machine.lease_renewed_at = machine.lease_renewed_at.max(answers.last_answered_at);
-            machine.answers_without_token = answers.without_token;
-        }
-    }
-
     /// Returns the number of machines that were answered.
     pub(in crate::leader) fn machine_count(&self) -> usize {
         self.by_machine.len()
     }
 
-    /// Removes all recorded answers once the machines record answers themselves.
-    pub(in crate::leader) fn clear(&mut self) {
-        self.by_machine.clear();
+    /// Moves the recorded answers into the machines of the machine registry. The other machines
+    /// that were answered hold no tasks.
+    pub(in crate::leader) fn move_into(self, machines: &mut BTreeMap<MachineId, Machine>) {
+        for (id, answers) in self.by_machine {
+            let Some(machine) = machines.get_mut(&id) else { continue };
+            machine.lease_renewed_at = machine.lease_renewed_at.max(answers.last_answered_at);
+            machine.answers_without_token = answers.without_token;
+        }
     }
 }
--- a/crates/basaltrail-core/src/leader/failover/recovery.rs
+++ b/crates/basaltrail-core/src/leader/failover/recovery.rs
@@ -69,8 +69,7 @@
             return;
         };
         for record in self.registry.records(segment) {
-            let mut machine = recovered_machine(ctx, record, segment, self.elected_at);
-            self.failover.loading_answers.apply_to(&mut machine);
+            let machine = recovered_machine(ctx, record, segment, self.elected_at);
             self.cluster.machines.insert(record.id.clone(), machine);
         }
     }
@@ -98,8 +97,9 @@
     /// afterwards.
     fn complete_loading(&mut self, ctx: &Context, calls: &mut Calls) {
         self.failover.load_stage = LoadStage::Complete;
-        let answered_machines = self.failover.loading_answers.machine_count();
-        self.failover.loading_answers.clear();
+        let loading_answers = std::mem::take(&mut self.failover.loading_answers);
+        let answered_machines = loading_answers.machine_count();
+        loading_answers.move_into(&mut self.cluster.machines);
         for job in self.cluster.jobs.values_mut() {
             if self.failover.recover_job(job) {
                 self.writer.complete_jobs.insert(job.id);
--- a/crates/basaltrail-core/tests/trace_player/script.rs
+++ b/crates/basaltrail-core/tests/trace_player/script.rs
@@ -22,7 +22,9 @@
                 assert!((1..=max).contains(&rejected), "{rejected} rejected");
             }
             "watch-events" => self.store.job_events_held = words[1] == "held",
-            "registry" => self.store.registry_unreadable = words[1] == "held",
+            "registry" => self.hold_reads(records::MACHINE_REGISTRY_PREFIX, words[1]),
+            "completions" => self.hold_reads(records::COMPLETIONS_PREFIX, words[1]),
+            "ledger" => self.hold_reads(records::LEDGER_KEY, words[1]),
             "watch" => self.hang_job_watches(),
             "late" => {
                 for request in std::mem::take(&mut self.store.unanswered_requests) {
@@ -38,6 +40,17 @@
         }
     }
 
+    /// Makes the keys with a prefix unreadable if `action` is `held`, and readable if it is
+    /// `flows`.
+    fn hold_reads(&mut self, prefix: &'static str, action: &str) {
+        let prefixes = &mut self.store.unreadable_prefixes;
+        match action {
+            "held" => prefixes.insert(prefix),
+            "flows" => prefixes.remove(prefix),
+            unknown => panic!("unknown action {unknown}"),
+        };
+    }
+
     fn hang_job_watches(&mut self) {
         let store = &mut self.store;
         let job_watches = store.watches.iter().filter(|watch| watch.prefix == records::JOBS_PREFIX);
--- a/crates/basaltrail-core/tests/trace_player/store.rs
+++ b/crates/basaltrail-core/tests/trace_player/store.rs
@@ -1,7 +1,7 @@
 //! Simulates the store that a trace uses, with the faults that the trace sets.
 
 use basaltrail_core::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The way in which the store handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -47,8 +47,8 @@
     pub watches: Vec<OpenWatch>,
     /// True if watches of the jobs get no reply.
     pub job_events_held: bool,
-    /// True if the machine registry cannot be read.
-    pub registry_unreadable: bool,
+    /// Prefixes of keys that cannot be read.
+    pub unreadable_prefixes: BTreeSet<&'static str>,
     /// Watches that never get a reply.
     pub hung_watches: Vec<CallId>,
     /// A key whose writes are rejected with status 400.
@@ -116,6 +116,7 @@
     /// Executes a request regardless of the availability.
     pub fn execute(&mut self, request: &StoreRequest) -> StoreReply {
         match request {
+            StoreRequest::Get(key) if self.is_unreadable(key) => StoreReply::Unavailable,
             StoreRequest::Get(key) => match self.keys.get(key) {
                 Some(stored) => StoreReply::KeyValue(stored.key_value(key)),
                 None => StoreReply::NotFound,
@@ -148,8 +149,12 @@
         leader.is_some_and(|stored| stored.lease_id == Some(lease_id))
     }
 
+    fn is_unreadable(&self, key: &str) -> bool {
+        self.unreadable_prefixes.iter().any(|prefix| key.starts_with(prefix))
+    }
+
     fn list(&self, prefix: &str) -> StoreReply {
-        if self.registry_unreadable && prefix == records::MACHINE_REGISTRY_PREFIX {
+        if self.is_unreadable(prefix) {
             return StoreReply::Unavailable;
         }
         let listed = self.keys.iter().filter(|(key, _)| key.starts_with(prefix));
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -22,6 +22,8 @@
     failover_does_not_wait_for_machines_a_job_may_not_use
     loading_leader_renews_leases_and_stops_ended_jobs
     failover_waits_for_machine_answered_while_loading
+    failover_waits_for_machine_answered_after_the_registry_was_read
+    failover_counts_machine_answered_while_loading_against_the_team_limit
     late_write_of_an_earlier_leader_fails
     lost_start_is_sent_again
     late_heartbeat_is_ignored
@@ -47,6 +49,7 @@
     undelivered_starts_move_to_another_machine
     returning_machine_gets_no_start_before_it_receives_an_answer
     machine_that_never_acknowledges_the_token_expires
+    machine_that_never_acknowledges_the_token_while_loading_expires
     partitioned_controller_names_no_leader
     recovered_leader_reads_cancellations_before_it_renews_leases
     starts_wait_for_watch_events_after_a_short_outage
