Match each reply of the election to its own request

Cause: one flag stood for every request of a follower. After a campaign without a reply, the revocation of its lease was sent without setting the flag, but the reply to it cleared the flag, although by then the grant or the campaign of the next attempt was in flight. The controller then read its own name in the leader key, took it for that of an earlier process, and revoked the lease of the campaign that it was waiting for. Another controller was elected; then the reply to the campaign began a term under the revoked lease.

Evidence: with the reply to the revocation held until the second campaign has been executed, the new trace failed before the change: campaign_in_flight_is_not_revoked_by_its_own_controller leader "n0 t3", expected "n0 t2" (its own campaign was revoked)

Change: each election request has an identifier, and a slot is freed only by the reply to the request that took it. Grant and campaign hold the follower's slot without a gap. Revocations of leases that are not used take no slot, and their replies change nothing. The slot of a keep-alive belongs to a term: "no such lease" for the previous term ended the next. As a second guard, a term does not begin, and one that has begun ends, if the leader key was read as deleted or written again since its campaign. handle_reply returns the request that must follow at once, so the granted lease is no longer kept between two calls. After a lost campaign the keys are listed at once, after an unknown result as before.

Other flags that a reply clears, read for the same cause: JobWatch.waiting (list and watch) and .catch_up; MachineTypes (read, write, cloud); Failover.request_in_flight, Inventory, TerminationCall, ProvisioningRequest, QuotaAllocator, Writer.in_flight and stale_keys (replies carry the leader's token); AdmissionState.record_write_in_flight; the two counters of batches. At most one request is in flight under each flag, so none is mixed up.

--- a/crates/basaltrail-core/src/controller/mod.rs
+++ b/crates/basaltrail-core/src/controller/mod.rs
@@ -15,6 +15,7 @@
 mod store_replies;
 mod submissions;
 
+use crate::election::requests::ElectionRequest;
 use crate::election::{Election, ElectionSettings};
 use crate::events::{LeadershipEvent, ResignReason};
 use crate::io::{Effect, Input};
@@ -266,16 +267,21 @@
             jitter_ms += self.cfg.leader_lease_ms() / 8;
         }
         for due in self.election.due_requests(self.now, jitter_ms) {
-            // Election requests are few. They are counted by the rate limiter but never delayed.
-            self.calls.try_acquire(self.now, CallPriority::Lease);
-            let purpose = StorePurpose::Election(due.purpose);
-            self.calls.send_to_store(purpose, due.request, due.timeout_ms);
+            self.send_election_request(due);
         }
         let holds_valid_lease = self.election.holds_valid_lease(self.now);
         self.lease_held_since =
             holds_valid_lease.then(|| self.lease_held_since.unwrap_or(self.now));
     }
 
+    /// Sends an election request. These requests are few. The rate limiter counts them but never
+    /// delays them.
+    fn send_election_request(&mut self, request: ElectionRequest) {
+        self.calls.try_acquire(self.now, CallPriority::Lease);
+        let purpose = StorePurpose::Election(request.call);
+        self.calls.send_to_store(purpose, request.request, request.timeout_ms);
+    }
+
     /// Creates the leader state when a term begins and drops it when the term ends.
     fn update_leader_state(&mut self) {
         let term = self.election.leader_term();
--- a/crates/basaltrail-core/src/controller/store_replies.rs
+++ b/crates/basaltrail-core/src/controller/store_replies.rs
@@ -1,19 +1,16 @@
 //! Dispatches replies of the store to the part of the controller that made the call.
 
 use super::Controller;
-use crate::election::ElectionPurpose;
+use crate::election::requests::{ElectionCall, ElectionPurpose};
 use crate::events::{JobEvent, StoreEvent};
-use crate::io::{StoreReply, StoreRequest};
+use crate::io::StoreReply;
 use crate::leader::WriteOutcome;
-use crate::model::{CallId, FencingToken, JobOutcome, Ms};
+use crate::model::{CallId, FencingToken, JobOutcome};
 use crate::store::calls::StorePurpose;
 use crate::store::pending_transaction::PendingTransaction;
 use crate::store::rate_limiter::CallPriority;
 use basaltrail_admission::QuotaWrite;
 
-/// Timeout of a lease revocation, in milliseconds. A lost revocation is harmless: the lease expires
-/// without it.
-const REVOKE_TIMEOUT_MS: Ms = 1_000;
 /// Changes in the transaction of a campaign: the leader key and the term key.
 const CAMPAIGN_CHANGES: f64 = 2.0;
 
@@ -25,7 +22,7 @@
             self.last_store_reply_at = self.now;
         }
         match purpose {
-            StorePurpose::Election(purpose) => self.handle_election_reply(purpose, reply),
+            StorePurpose::Election(call) => self.handle_election_reply(call, reply),
             StorePurpose::ListJobs { range, after, sent_at } => {
                 self.handle_list_reply(range, after, sent_at, reply);
             }
@@ -67,20 +64,15 @@
         }
     }
 
-    fn handle_election_reply(&mut self, purpose: ElectionPurpose, reply: StoreReply) {
-        if let Some(lease_id) = self.election.handle_reply(self.now, purpose, reply) {
-            let purpose = StorePurpose::Election(ElectionPurpose::RevokeLease { lease_id });
-            let request = StoreRequest::RevokeLease { lease_id };
-            self.calls.send_to_store(purpose, request, REVOKE_TIMEOUT_MS);
-        }
-        if let Some(due) = self.election.campaign_request() {
+    fn handle_election_reply(&mut self, call: ElectionCall, reply: StoreReply) {
+        let Some(request) = self.election.handle_reply(self.now, call, reply) else { return };
+        if matches!(request.call.purpose, ElectionPurpose::Campaign { .. }) {
             // Campaigns are never delayed: the rate limiter counts the changes but its result is
             // ignored.
             let changes = CAMPAIGN_CHANGES;
             self.calls.write_limiter.try_acquire(self.now, changes, CallPriority::Lease);
-            let purpose = StorePurpose::Election(due.purpose);
-            self.calls.send_to_store(purpose, due.request, due.timeout_ms);
         }
+        self.send_election_request(request);
     }
 
     fn handle_leader_transaction_reply(
--- a/crates/basaltrail-core/src/election.rs
+++ b/crates/basaltrail-core/src/election/mod.rs
@@ -7,15 +7,20 @@
 //! `POST /grants`). Messages from peers have no influence on the election.
 //!
 //! The election is a state machine without I/O: [`Election::due_requests`] returns the requests to
-//! send to the store now, and [`Election::handle_reply`] applies the replies. After each reply, the
-//! caller revokes the lease that `handle_reply` returns and sends the request that
-//! [`Election::campaign_request`] returns, if any.
+//! send to the store now, and [`Election::handle_reply`] applies the replies and returns the request
+//! that must follow at once, if any. Each request has an identifier of its own, so a reply changes
+//! the state of its own request only ([`requests`]).
 
-use crate::io::{KeyValue, Precondition, PutRequest, StoreReply, StoreRequest, WatchEvent};
+pub mod requests;
+mod view;
+
+use crate::io::{Precondition, PutRequest, StoreReply, StoreRequest};
 use crate::model::{FencingToken, LeaseId, Ms, Revision};
-use crate::store::records::{
-    decode, encode, LeaderRecord, CONTROL_PREFIX, LEADER_KEY, PRIMARY_ZONE_KEY, TERM_KEY,
+use crate::store::records::{encode, LeaderRecord, CONTROL_PREFIX, LEADER_KEY, TERM_KEY};
+use requests::{
+    ElectionCall, ElectionPurpose, ElectionRequest, ElectionRequestId, GrantedLease, RequestSlot,
 };
+use view::{LeaderKey, View};
 
 /// Maximum number of keys in the list of the control prefix, which holds three.
 const CONTROL_LIST_LIMIT: u32 = 10;
@@ -35,27 +40,6 @@
 /// Value of `next_campaign_at` while the jitter of the next campaign is not drawn yet.
 const JITTER_NOT_DRAWN: Ms = Ms::MAX;
 
-/// The leader key, as last read from the store.
-#[derive(Clone, Debug, PartialEq)]
-struct LeaderKey {
-    record: LeaderRecord,
-    mod_revision: Revision,
-    lease_id: Option<LeaseId>,
-}
-
-/// The keys under the control prefix as they were last read.
-#[derive(Clone, Debug, Default)]
-struct View {
-    leader_key: Option<LeaderKey>,
-    /// The fencing token of the latest term.
-    token: FencingToken,
-    /// The mod revision of the term key.
-    term_key_mod_revision: Revision,
-    primary_zone: Option<String>,
-    /// The store revision up to which changes are known.
-    revision: Revision,
-}
-
 /// The role of this controller. A leader without a valid lease is `Leading` until it steps down.
 #[derive(Clone, Debug, PartialEq)]
 enum Role {
@@ -76,58 +60,6 @@
     lease_valid_until: Ms,
 }
 
-/// A lease granted for a campaign.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct GrantedLease {
-    lease_id: LeaseId,
-    /// The time of the grant request, from which the time to live counts.
-    requested_at: Ms,
-}
-
-/// The purpose of an election request, which is passed back with the reply.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ElectionPurpose {
-    /// Reads the keys under the control prefix.
-    List,
-    /// Watches the keys under the control prefix.
-    Watch,
-    /// Requests a lease for a campaign.
-    GrantLease {
-        /// The time at which the request was sent.
-        sent_at: Ms,
-    },
-    /// Writes the leader key, attached to the lease, and the next fencing token.
-    Campaign {
-        /// The lease.
-        lease_id: LeaseId,
-        /// The time at which the lease was requested.
-        lease_requested_at: Ms,
-        /// The fencing token of the new term.
-        token: FencingToken,
-    },
-    /// Extends the leader lease.
-    KeepAlive {
-        /// The time at which the request was sent.
-        sent_at: Ms,
-    },
-    /// Revokes a lease under which no controller acts as the leader.
-    RevokeLease {
-        /// The lease.
-        lease_id: LeaseId,
-    },
-}
-
-/// A request of the election to the store.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ElectionRequest {
-    /// The purpose of the request.
-    pub purpose: ElectionPurpose,
-    /// The request.
-    pub request: StoreRequest,
-    /// Milliseconds after which the result counts as unknown.
-    pub timeout_ms: Ms,
-}
-
 /// The settings of a controller's election.
 #[derive(Clone, Debug)]
 pub struct ElectionSettings {
@@ -144,25 +76,21 @@
     pub lease_validity_ms: Ms,
 }
 
-/// Flags of the requests that are in flight, by kind.
-#[derive(Clone, Copy, Debug, Default)]
-struct InFlight {
-    list: bool,
-    watch: bool,
-    /// A request that only a follower sends: a grant, a campaign or a revocation.
-    follower_request: bool,
-    keep_alive: bool,
-}
-
 /// The state of the election at one controller.
 pub struct Election {
     settings: ElectionSettings,
     /// The keys as last read; `None` if they must be listed again.
     view: Option<View>,
     role: Role,
-    in_flight: InFlight,
-    /// A granted lease whose campaign request is not sent yet.
-    granted_lease: Option<GrantedLease>,
+    /// The identifier of the last request.
+    last_request_id: ElectionRequestId,
+    list: RequestSlot,
+    watch: RequestSlot,
+    /// The requests of a follower: a grant, then its campaign, or the revocation of a lease under
+    /// which the leader key names this controller. Revocations of other leases take no slot.
+    follower_request: RequestSlot,
+    /// The keep-alive of the current term.
+    keep_alive: RequestSlot,
     /// The earliest time of the next list or watch.
     next_read_at: Ms,
     /// The earliest time of the next lease request for a campaign.
@@ -183,8 +111,11 @@
             settings,
             view: None,
             role: Role::Following,
-            in_flight: InFlight::default(),
-            granted_lease: None,
+            last_request_id: ElectionRequestId::default(),
+            list: RequestSlot::default(),
+            watch: RequestSlot::default(),
+            follower_request: RequestSlot::default(),
+            keep_alive: RequestSlot::default(),
             next_read_at: 0,
             next_campaign_at: 0,
             next_revocation_at: 0,
@@ -247,9 +178,16 @@
         self.resigned_until = now + pause_ms;
     }
 
-    fn new_request(&self, purpose: ElectionPurpose, request: StoreRequest) -> ElectionRequest {
+    fn new_request(&mut self, purpose: ElectionPurpose, request: StoreRequest) -> ElectionRequest {
+        self.last_request_id = self.last_request_id.next();
+        let call = ElectionCall { id: self.last_request_id, purpose };
         let timeout_ms = self.settings.lease_ttl_ms / TIMEOUT_DIVISOR;
-        ElectionRequest { purpose, request, timeout_ms }
+        ElectionRequest { call, request, timeout_ms }
+    }
+
+    /// Returns the request that revokes a lease under which no controller acts as the leader.
+    fn revocation_request(&mut self, lease_id: LeaseId) -> ElectionRequest {
+        self.new_request(ElectionPurpose::RevokeLease, StoreRequest::RevokeLease { lease_id })
     }
 
     fn retry_delay_ms(&self) -> Ms {
@@ -275,46 +213,49 @@
         if now < self.next_read_at {
             return None;
         }
-        let Some(view) = &self.view else {
-            if self.in_flight.list {
-                return None;
-            }
-            self.in_flight.list = true;
-            let list = StoreRequest::List {
-                prefix: CONTROL_PREFIX.into(),
-                after: None,
-                limit: CONTROL_LIST_LIMIT,
-            };
-            return Some(self.new_request(ElectionPurpose::List, list));
-        };
-        if self.in_flight.watch {
-            return None;
+        match self.view.as_ref().map(|view| view.revision) {
+            None if self.list.is_free() => Some(self.list_request()),
+            Some(after) if self.watch.is_free() => Some(self.watch_request(after)),
+            _ => None,
         }
+    }
+
+    fn list_request(&mut self) -> ElectionRequest {
+        let prefix = CONTROL_PREFIX.into();
+        let list = StoreRequest::List { prefix, after: None, limit: CONTROL_LIST_LIMIT };
+        let request = self.new_request(ElectionPurpose::List, list);
+        self.list.occupy(&request);
+        request
+    }
+
+    fn watch_request(&mut self, after: Revision) -> ElectionRequest {
         let wait_ms = self.settings.lease_ttl_ms / WATCH_WAIT_DIVISOR;
-        let (prefix, after) = (CONTROL_PREFIX.into(), view.revision);
-        let watch = StoreRequest::Watch { prefix, after, wait_ms };
-        self.in_flight.watch = true;
-        let request = self.new_request(ElectionPurpose::Watch, watch);
-        Some(ElectionRequest { timeout_ms: wait_ms + request.timeout_ms, ..request })
+        let watch = StoreRequest::Watch { prefix: CONTROL_PREFIX.into(), after, wait_ms };
+        let mut request = self.new_request(ElectionPurpose::Watch, watch);
+        request.timeout_ms += wait_ms;
+        self.watch.occupy(&request);
+        request
     }
 
     fn keep_alive_request(&mut self, now: Ms, lease_id: LeaseId) -> Option<ElectionRequest> {
-        if self.in_flight.keep_alive || now < self.next_keep_alive_at {
+        if !self.keep_alive.is_free() || now < self.next_keep_alive_at {
             return None;
         }
-        self.in_flight.keep_alive = true;
-        Some(ElectionRequest {
-            purpose: ElectionPurpose::KeepAlive { sent_at: now },
-            request: StoreRequest::KeepAlive { lease_id },
-            timeout_ms: self.settings.lease_ttl_ms / KEEP_ALIVE_INTERVAL_DIVISOR,
-        })
+        let purpose = ElectionPurpose::KeepAlive { sent_at: now };
+        let mut request = self.new_request(purpose, StoreRequest::KeepAlive { lease_id });
+        request.timeout_ms = self.settings.lease_ttl_ms / KEEP_ALIVE_INTERVAL_DIVISOR;
+        self.keep_alive.occupy(&request);
+        Some(request)
     }
 
     /// Returns the request that revokes the lease of an earlier process or term of this controller,
     /// or the one that begins a campaign if there is no leader.
+    ///
+    /// While a campaign awaits its reply, the leader key may name this controller because of it, so
+    /// nothing is revoked.
     fn follower_request(&mut self, now: Ms, jitter_ms: Ms) -> Option<ElectionRequest> {
-        let view = self.view.as_ref().filter(|_| !self.in_flight.follower_request)?;
-        match &view.leader_key {
+        let view = self.view.as_ref().filter(|_| self.follower_request.is_free())?;
+        let request = match &view.leader_key {
             // The key belongs to an earlier process of this controller, to a campaign whose result
             // is unknown, or to a term from which this process has stepped down. No process acts as
             // that leader, so its lease can be revoked at once.
@@ -323,95 +264,82 @@
                     && now >= self.next_revocation_at =>
             {
                 let lease_id = leader_key.lease_id?;
-                self.in_flight.follower_request = true;
                 self.next_revocation_at =
                     now + self.settings.lease_ttl_ms / REVOCATION_INTERVAL_DIVISOR;
-                let purpose = ElectionPurpose::RevokeLease { lease_id };
-                Some(self.new_request(purpose, StoreRequest::RevokeLease { lease_id }))
+                self.revocation_request(lease_id)
             }
             None if self.next_campaign_at == JITTER_NOT_DRAWN => {
                 self.next_campaign_at = now + jitter_ms;
-                None
+                return None;
             }
             None if now >= self.next_campaign_at.max(self.resigned_until) => {
-                self.in_flight.follower_request = true;
                 let grant = StoreRequest::GrantLease { ttl_ms: self.settings.lease_ttl_ms };
-                Some(self.new_request(ElectionPurpose::GrantLease { sent_at: now }, grant))
+                self.new_request(ElectionPurpose::GrantLease { sent_at: now }, grant)
             }
-            _ => None,
-        }
+            _ => return None,
+        };
+        self.follower_request.occupy(&request);
+        Some(request)
     }
 
-    /// Applies the current value of a key under the control prefix; `item` is `None` if the key was
-    /// deleted.
-    fn apply_key(&mut self, key: &str, item: Option<&KeyValue>, now: Ms) {
-        let Some(view) = self.view.as_mut() else { return };
-        if key == LEADER_KEY {
-            view.leader_key = item.and_then(|item| {
-                let record = decode(&item.value)?;
-                let KeyValue { mod_revision, lease_id, .. } = *item;
-                Some(LeaderKey { record, mod_revision, lease_id })
-            });
-            if view.leader_key.is_none() {
-                self.next_campaign_at = JITTER_NOT_DRAWN;
-            }
-        } else if key == TERM_KEY {
-            if let Some(item) = item {
-                view.token = decode(&item.value).unwrap_or_default();
-                view.term_key_mod_revision = item.mod_revision;
-            }
-        } else if key == PRIMARY_ZONE_KEY {
-            view.primary_zone = item.and_then(|item| decode(&item.value));
-        }
-        let key_revision = view.leader_key.as_ref().map(|leader_key| leader_key.mod_revision);
-        if let (Role::Leading(term), Some(key_revision)) = (&self.role, key_revision) {
-            // A later put of the leader key belongs to a later term.
-            if key_revision > term.mod_revision {
-                self.step_down(now);
-            }
+    /// Steps down if the keys show that the term of this controller has ended.
+    fn check_term(&mut self, now: Ms) {
+        let (Role::Leading(term), Some(view)) = (&self.role, &self.view) else { return };
+        if view.shows_end_of_term(term.mod_revision) {
+            self.step_down(now);
         }
     }
 
-    /// Applies a reply. Returns a lease that the caller must revoke, if there is one.
+    /// Applies a reply. Returns the request that the caller must send at once, if there is one: a
+    /// campaign, since the time to live of its lease has begun, or the revocation of a lease that
+    /// is not used.
     pub fn handle_reply(
         &mut self,
         now: Ms,
-        purpose: ElectionPurpose,
+        call: ElectionCall,
         reply: StoreReply,
-    ) -> Option<LeaseId> {
+    ) -> Option<ElectionRequest> {
+        let ElectionCall { id, purpose } = call;
+        let is_awaited = match purpose {
+            ElectionPurpose::List => self.list.release(id),
+            ElectionPurpose::Watch => self.watch.release(id),
+            ElectionPurpose::KeepAlive { .. } => self.keep_alive.release(id),
+            ElectionPurpose::GrantLease { .. }
+            | ElectionPurpose::Campaign { .. }
+            | ElectionPurpose::RevokeLease => self.follower_request.release(id),
+        };
+        if !is_awaited {
+            // The keep-alive of an earlier term, or a revocation that takes no slot.
+            return None;
+        }
         match purpose {
             ElectionPurpose::List => self.handle_list_reply(now, reply),
             ElectionPurpose::Watch => self.handle_watch_reply(now, reply),
             ElectionPurpose::GrantLease { sent_at } => {
                 return self.handle_grant_reply(now, sent_at, reply)
             }
-            ElectionPurpose::Campaign { lease_id, lease_requested_at, token } => {
-                let granted = GrantedLease { lease_id, requested_at: lease_requested_at };
-                return self.handle_campaign_reply(now, granted, token, reply);
+            ElectionPurpose::Campaign { lease, token } => {
+                return self.handle_campaign_reply(now, lease, token, reply)
             }
             ElectionPurpose::KeepAlive { sent_at } => {
                 self.handle_keep_alive_reply(now, sent_at, reply)
             }
-            ElectionPurpose::RevokeLease { .. } => self.handle_revoke_reply(now, reply),
+            ElectionPurpose::RevokeLease => self.handle_revoke_reply(now, reply),
         }
         None
     }
 
     fn handle_list_reply(&mut self, now: Ms, reply: StoreReply) {
-        self.in_flight.list = false;
         let StoreReply::Page { items, revision, .. } = reply else {
             self.next_read_at = now + self.retry_delay_ms();
             return;
         };
-        self.view = Some(View { revision, ..View::default() });
+        self.view = Some(View::listed(&items, revision));
         self.next_campaign_at = JITTER_NOT_DRAWN;
-        for item in &items {
-            self.apply_key(&item.key, Some(item), now);
-        }
+        self.check_term(now);
     }
 
     fn handle_watch_reply(&mut self, now: Ms, reply: StoreReply) {
-        self.in_flight.watch = false;
         let StoreReply::Events { revision, events } = reply else {
             // This also clears the leader hint. A partitioned controller would otherwise redirect
             // workers to a controller that may no longer lead, until their leases expire.
@@ -419,61 +347,99 @@
             self.next_read_at = now + self.retry_delay_ms();
             return;
         };
-        for event in &events {
-            match event {
-                WatchEvent::Put(item) => self.apply_key(&item.key, Some(item), now),
-                WatchEvent::Delete { key, .. } => self.apply_key(key, None, now),
-            }
-        }
-        if let Some(view) = self.view.as_mut() {
-            view.revision = view.revision.max(revision);
+        let Some(view) = self.view.as_mut() else { return };
+        let leader_key_changed = view.apply_events(&events, revision);
+        if leader_key_changed && view.leader_key.is_none() {
+            self.next_campaign_at = JITTER_NOT_DRAWN;
         }
+        self.check_term(now);
     }
 
-    fn handle_grant_reply(&mut self, now: Ms, sent_at: Ms, reply: StoreReply) -> Option<LeaseId> {
-        self.in_flight.follower_request = false;
+    /// Returns the campaign under a granted lease, or the revocation of the lease if another
+    /// controller was elected after the grant was requested.
+    fn handle_grant_reply(
+        &mut self,
+        now: Ms,
+        sent_at: Ms,
+        reply: StoreReply,
+    ) -> Option<ElectionRequest> {
         let StoreReply::LeaseGranted { lease_id } = reply else {
             self.next_campaign_at = now + self.retry_delay_ms();
             return None;
         };
-        // Another controller may have been elected after the request was sent.
-        let has_no_leader = self.view.as_ref().is_some_and(|view| view.leader_key.is_none());
-        if !has_no_leader || self.leader_term().is_some() {
-            return Some(lease_id);
+        let lease = GrantedLease { lease_id, requested_at: sent_at };
+        let campaign = self.campaign_request(lease);
+        Some(campaign.unwrap_or_else(|| self.revocation_request(lease_id)))
+    }
+
+    /// Returns the campaign under a granted lease, unless the leader key is held or must be listed.
+    fn campaign_request(&mut self, lease: GrantedLease) -> Option<ElectionRequest> {
+        let view = self.view.as_ref().filter(|view| view.leader_key.is_none())?;
+        if self.leader_term().is_some() {
+            return None;
         }
-        // The caller sends the campaign at once; see `campaign_request`.
-        self.in_flight.follower_request = true;
-        self.granted_lease = Some(GrantedLease { lease_id, requested_at: sent_at });
-        None
+        let token = FencingToken(view.token.0 + 1);
+        let record = LeaderRecord {
+            controller: self.settings.controller.clone(),
+            incarnation: self.settings.incarnation,
+            token,
+            allocates_quotas: self.settings.allocates_quotas,
+        };
+        let put = |key: &str, value, lease_id| PutRequest { key: key.into(), value, lease_id };
+        let transaction = StoreRequest::Transaction {
+            preconditions: vec![
+                Precondition::absent(LEADER_KEY),
+                Precondition::new(TERM_KEY, view.term_key_mod_revision),
+            ],
+            puts: vec![
+                put(LEADER_KEY, encode(&record), Some(lease.lease_id)),
+                put(TERM_KEY, encode(&token), None),
+            ],
+            deletes: Vec::new(),
+        };
+        let request = self.new_request(ElectionPurpose::Campaign { lease, token }, transaction);
+        self.follower_request.occupy(&request);
+        Some(request)
     }
 
+    /// Begins the term of a campaign that succeeded. Otherwise returns the revocation of its lease.
     fn handle_campaign_reply(
         &mut self,
         now: Ms,
-        granted: GrantedLease,
+        lease: GrantedLease,
         token: FencingToken,
         reply: StoreReply,
-    ) -> Option<LeaseId> {
-        self.in_flight.follower_request = false;
-        let StoreReply::Committed { revision } = reply else {
-            // The campaign failed, or its result is unknown. Revoking the lease also removes the
-            // leader key if the store executes the transaction late.
+    ) -> Option<ElectionRequest> {
+        let retry_delay_ms = match reply {
+            StoreReply::Conflict { .. } => 0, // the result is known, and so will be the leader
+            _ => self.retry_delay_ms(),
+        };
+        let committed_at = match reply {
+            StoreReply::Committed { revision } => Some(revision),
+            _ => None,
+        };
+        let has_ended = |revision: &Revision| {
+            self.view.as_ref().is_some_and(|view| view.shows_end_of_term(*revision))
+        };
+        let Some(mod_revision) = committed_at.filter(|revision| !has_ended(revision)) else {
+            // The campaign failed, its result is unknown, or its term has already ended. Revoking
+            // the lease also removes the leader key if the store executes the transaction late.
             self.view = None;
-            self.next_read_at = now + self.retry_delay_ms();
-            return Some(granted.lease_id);
+            self.next_read_at = now + retry_delay_ms;
+            return Some(self.revocation_request(lease.lease_id));
         };
         self.role = Role::Leading(LeaderTerm {
             token,
-            mod_revision: revision,
-            lease_id: granted.lease_id,
-            lease_valid_until: granted.requested_at + self.settings.lease_validity_ms,
+            mod_revision,
+            lease_id: lease.lease_id,
+            lease_valid_until: lease.requested_at + self.settings.lease_validity_ms,
         });
+        self.keep_alive = RequestSlot::default();
         self.next_keep_alive_at = now;
         None
     }
 
     fn handle_keep_alive_reply(&mut self, now: Ms, sent_at: Ms, reply: StoreReply) {
-        self.in_flight.keep_alive = false;
         match reply {
             StoreReply::LeaseUpdated => {
                 self.next_keep_alive_at =
@@ -493,39 +459,12 @@
     }
 
     fn handle_revoke_reply(&mut self, now: Ms, reply: StoreReply) {
-        self.in_flight.follower_request = false;
         if matches!(reply, StoreReply::LeaseUpdated | StoreReply::NotFound) {
             self.view = None;
             self.next_read_at = now;
         }
     }
-
-    /// Returns the campaign request if the last handled reply granted a lease. The caller must send
-    /// it at once, since the time to live of the lease has begun.
-    pub fn campaign_request(&mut self) -> Option<ElectionRequest> {
-        let GrantedLease { lease_id, requested_at } = self.granted_lease.take()?;
-        let view = self.view.as_ref()?;
-        let token = FencingToken(view.token.0 + 1);
-        let record = LeaderRecord {
-            controller: self.settings.controller.clone(),
-            incarnation: self.settings.incarnation,
-            token,
-            allocates_quotas: self.settings.allocates_quotas,
-        };
-        let put = |key: &str, value, lease_id| PutRequest { key: key.into(), value, lease_id };
-        let transaction = StoreRequest::Transaction {
-            preconditions: vec![
-                Precondition::absent(LEADER_KEY),
-                Precondition::new(TERM_KEY, view.term_key_mod_revision),
-            ],
-            puts: vec![
-                put(LEADER_KEY, encode(&record), Some(lease_id)),
-                put(TERM_KEY, encode(&token), None),
-            ],
-            deletes: Vec::new(),
-        };
-        let purpose =
-            ElectionPurpose::Campaign { lease_id, lease_requested_at: requested_at, token };
-        Some(self.new_request(purpose, transaction))
-    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/basaltrail-core/src/store/calls.rs
+++ b/crates/basaltrail-core/src/store/calls.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::Answer;
 use crate::controller::request_queue::{AdmittedSubmission, ClientRequest, JobConfirmation};
-use crate::election::ElectionPurpose;
+use crate::election::requests::ElectionCall;
 use crate::events::LogEvent;
 use crate::io::{CloudRequest, Effect, StoreRequest};
 use crate::jobs::watch::WatchKind;
@@ -37,7 +37,7 @@
 /// leader of that term.
 pub enum StorePurpose {
     /// Sends a request of the election.
-    Election(ElectionPurpose),
+    Election(ElectionCall),
     /// Reads a page of the list of the jobs or of admission records.
     ListJobs {
         /// The key range.
--- a/crates/basaltrail-core/tests/trace_player/mod.rs
+++ b/crates/basaltrail-core/tests/trace_player/mod.rs
@@ -171,7 +171,8 @@
                 None
             }
             Effect::Store { call_id, request, .. } => {
-                Some(Input::Store { call_id, reply: self.store.handle_request(request) })
+                let reply = self.store.handle_call(call_id, request)?;
+                Some(Input::Store { call_id, reply })
             }
             Effect::Cloud { call_id, request, .. } => {
                 Some(Input::Cloud { call_id, reply: cloud_reply(&request) })
--- a/crates/basaltrail-core/tests/trace_player/script.rs
+++ b/crates/basaltrail-core/tests/trace_player/script.rs
@@ -1,6 +1,6 @@
 //! Interprets the lines of a trace, which `tests/traces/README` describes.
 
-use super::store::Availability;
+use super::store::{Availability, HeldKind, HeldReply};
 use super::{spec, TracePlayer};
 use basaltrail_core::*;
 
@@ -25,6 +25,12 @@
             "registry" => self.hold_reads(records::MACHINE_REGISTRY_PREFIX, words[1]),
             "completions" => self.hold_reads(records::COMPLETIONS_PREFIX, words[1]),
             "ledger" => self.hold_reads(records::LEDGER_KEY, words[1]),
+            "campaigns" => self.hold_replies(HeldKind::Campaign, words[1]),
+            "revocations" => self.hold_replies(HeldKind::Revocation, words[1]),
+            "lose" => self.store.loses_next_campaign = true,
+            "leader" => {
+                assert_eq!(self.store.leader().unwrap_or("none".into()), words[1..].join(" "))
+            }
             "watch" => self.hang_job_watches(),
             "late" => {
                 for request in std::mem::take(&mut self.store.unanswered_requests) {
@@ -51,6 +57,22 @@
         };
     }
 
+    /// Holds replies of a kind if `action` is `held`, and delivers those that are held if it is
+    /// `flows`.
+    fn hold_replies(&mut self, kind: HeldKind, action: &str) {
+        match action {
+            "held" => {
+                self.store.held_kinds.insert(kind);
+            }
+            "flows" => {
+                for HeldReply { call_id, reply, .. } in self.store.release_replies(kind) {
+                    self.feed(Input::Store { call_id, reply });
+                }
+            }
+            unknown => panic!("unknown action {unknown}"),
+        }
+    }
+
     fn hang_job_watches(&mut self) {
         let store = &mut self.store;
         let job_watches = store.watches.iter().filter(|watch| watch.prefix == records::JOBS_PREFIX);
--- a/crates/basaltrail-core/tests/trace_player/store.rs
+++ b/crates/basaltrail-core/tests/trace_player/store.rs
@@ -15,6 +15,36 @@
     Silent,
 }
 
+/// A kind of request whose replies a trace can hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HeldKind {
+    /// Transactions that write the leader key.
+    Campaign,
+    /// Revocations of leases.
+    Revocation,
+}
+
+impl HeldKind {
+    /// Returns the kind of a request, if its replies can be held.
+    pub fn of(request: &StoreRequest) -> Option<HeldKind> {
+        match request {
+            StoreRequest::RevokeLease { .. } => Some(HeldKind::Revocation),
+            StoreRequest::Transaction { puts, .. } => {
+                let is_campaign = puts.iter().any(|put| put.key == records::LEADER_KEY);
+                is_campaign.then_some(HeldKind::Campaign)
+            }
+            _ => None,
+        }
+    }
+}
+
+/// The reply to a request that the store has executed, held on its way to the controller.
+pub struct HeldReply {
+    pub kind: HeldKind,
+    pub call_id: CallId,
+    pub reply: StoreReply,
+}
+
 /// A watch without a reply so far.
 pub struct OpenWatch {
     pub call_id: CallId,
@@ -49,6 +79,12 @@
     pub job_events_held: bool,
     /// Prefixes of keys that cannot be read.
     pub unreadable_prefixes: BTreeSet<&'static str>,
+    /// Kinds of requests whose replies are held.
+    pub held_kinds: BTreeSet<HeldKind>,
+    /// Replies that are held, in the order of the requests.
+    pub held_replies: Vec<HeldReply>,
+    /// True if the next campaign is executed and its reply is lost.
+    pub loses_next_campaign: bool,
     /// Watches that never get a reply.
     pub hung_watches: Vec<CallId>,
     /// A key whose writes are rejected with status 400.
@@ -93,6 +129,39 @@
         }
     }
 
+    /// Handles a request as [`TraceStore::handle_request`] does. Returns `None` if the reply is held.
+    pub fn handle_call(&mut self, call_id: CallId, request: StoreRequest) -> Option<StoreReply> {
+        let kind = HeldKind::of(&request).filter(|_| self.availability == Availability::Up);
+        let reply = self.handle_request(request);
+        let Some(kind) = kind else { return Some(reply) };
+        if kind == HeldKind::Campaign && std::mem::take(&mut self.loses_next_campaign) {
+            return Some(StoreReply::Unknown);
+        }
+        if !self.held_kinds.contains(&kind) {
+            return Some(reply);
+        }
+        self.held_replies.push(HeldReply { kind, call_id, reply });
+        None
+    }
+
+    /// Stops holding replies of a kind, and returns those that were held.
+    pub fn release_replies(&mut self, kind: HeldKind) -> Vec<HeldReply> {
+        self.held_kinds.remove(&kind);
+        let (released, held) = std::mem::take(&mut self.held_replies)
+            .into_iter()
+            .partition(|held: &HeldReply| held.kind == kind);
+        self.held_replies = held;
+        released
+    }
+
+    /// Returns the controller that holds the leader key and its token, as they are written in
+    /// traces.
+    pub fn leader(&self) -> Option<String> {
+        let stored = self.keys.get(records::LEADER_KEY)?;
+        let record: records::LeaderRecord = records::decode(&stored.value)?;
+        Some(format!("{} t{}", record.controller, record.token.0))
+    }
+
     /// Returns the reply to an open watch, or `None` if the watch stays open.
     pub fn reply_to(&self, watch: &OpenWatch, now: u64) -> Option<StoreReply> {
         let is_held = self.job_events_held && watch.prefix == records::JOBS_PREFIX;
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -39,6 +39,7 @@
     freed_machine_gets_new_tasks_in_the_same_answer
     returning_machine_waits_for_the_registry
     leader_record_of_an_earlier_process_is_replaced
+    campaign_in_flight_is_not_revoked_by_its_own_controller
     failing_job_backs_off
     cancel_stops_tasks
     leader_without_reachable_workers_steps_down
