Skip watch events of the election that the last list contains

What could be seen: a controller could take an ended term for the present one, redirect workers to its leader and not campaign, until the leader key changed again.

Cause: after a step-down the keys are listed anew while the earlier watch is still in flight. If its reply arrived after the list's, its older events replaced the newer keys, also the lease of the leader key, and the watch went on from the list's revision, so the error stayed.

Change: an event is applied only if it is newer than the view.

Evidence: events_that_are_older_than_the_list_are_skipped fails with the comparison taken out (leader hint n1 instead of n2).

--- a/crates/basaltrail-core/src/election/tests.rs
+++ b/crates/basaltrail-core/src/election/tests.rs
@@ -160,6 +160,22 @@
     assert_eq!(test.election.leader_term(), None);
 }
 
+/// Guards against a controller that takes an earlier leader for the present one for good: the reply
+/// to a watch that was sent before the last list must not replace what the list returned.
+#[test]
+fn events_that_are_older_than_the_list_are_skipped() {
+    let mut test = TestElection::new();
+    test.run_for(100);
+    test.reply_to_list(Vec::new(), 1);
+    test.run_for(100);
+    test.election.step_down(test.now);
+    test.run_for(100);
+    test.reply_to_list(vec![leader_key("n2", 8, 5)], 9);
+    test.reply_to_watch(vec![WatchEvent::Put(leader_key("n1", 2, 4))], 3);
+    assert_eq!(test.election.leader_hint(), Some("n2"));
+    assert_eq!(test.election.last_token_and_revision().1, Revision(9));
+}
+
 /// Guards against a leader that steps down because of the lease of its previous term.
 #[test]
 fn a_reply_to_a_keep_alive_of_the_previous_term_does_not_end_the_next() {
--- a/crates/basaltrail-core/src/election/view.rs
+++ b/crates/basaltrail-core/src/election/view.rs
@@ -36,17 +36,20 @@
         view
     }
 
-    /// Applies the events of a watch that knows all changes up to a revision. Returns whether one of
-    /// them changed the leader key.
+    /// Applies the events of a watch that knows all changes up to a revision. Events that the view
+    /// contains already are skipped, since the watch may have been sent before the list was read.
+    /// Returns whether one of them changed the leader key.
     pub(super) fn apply_events(&mut self, events: &[WatchEvent], revision: Revision) -> bool {
         let mut leader_key_changed = false;
         for event in events {
-            let (key, item) = match event {
-                WatchEvent::Put(item) => (&item.key, Some(item)),
-                WatchEvent::Delete { key, .. } => (key, None),
+            let (key, item, changed_at) = match event {
+                WatchEvent::Put(item) => (&item.key, Some(item), item.mod_revision),
+                WatchEvent::Delete { key, mod_revision } => (key, None, *mod_revision),
             };
-            self.apply(key, item);
-            leader_key_changed |= key == LEADER_KEY;
+            if changed_at > self.revision {
+                self.apply(key, item);
+                leader_key_changed |= key == LEADER_KEY;
+            }
         }
         self.revision = self.revision.max(revision);
         leader_key_changed
