Hold back a team's jobs only for room that arrays release

Cause: a job whose task does not fit into the team's limit stops the other arrays of the team, so that the released parts of the limit add up for it. What services hold is not released, so here the wait had no end and gained nothing.

Change: the others wait only if the task fits into the limit beside what the team's services hold; in the cycle, the assignment of first tasks and backfill.

Evidence: before the change a_job_too_wide_beside_services_does_not_hold_back_its_team and backfill_passes_over_a_job_too_wide_beside_services failed with 0 narrow jobs on a machine, expected 1. Both also check that the remainder is kept where arrays hold the limit.

--- a/crates/basaltrail-core/src/leader/scheduler/assignment.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/assignment.rs
@@ -92,6 +92,8 @@
     pub(in crate::leader) free: Vec<FreeCapacity>,
     /// Upper bound of the resources that each team uses, by team index.
     pub(in crate::leader) used: Vec<Resources>,
+    /// Resources that the services of each team hold, by team index.
+    pub(in crate::leader) used_by_services: Vec<Resources>,
 }
 
 impl Assigner<'_> {
@@ -116,14 +118,28 @@
         pending_within_limit(self.inputs.ctx, self.inputs.cluster, id, &self.used)
     }
 
-    /// Returns whether no task of a job is placed and its team's limit leaves too little for one.
+    /// Returns whether no task of a job is placed, its team's limit leaves too little for one, and
+    /// enough of the limit becomes free when tasks of arrays end.
     ///
     /// Other jobs of the team must then wait: their smaller tasks would take the released parts of
     /// the limit one by one, and a large task would never fit. A job with placed tasks reuses the
     /// part of the limit that its own tasks release, so other jobs may use the rest.
     pub(in crate::leader) fn is_blocked_by_limit(&self, id: JobId) -> bool {
         let job = self.inputs.cluster.jobs.get(&id);
-        self.pending_within_limit(id) == 0 && job.is_some_and(|job| job.placed.is_empty())
+        job.is_some_and(|job| job.placed.is_empty())
+            && self.pending_within_limit(id) == 0
+            && self.fits_beside_services(id)
+    }
+
+    /// Returns whether a task of a job fits into its team's limit beside the team's services.
+    ///
+    /// Services release nothing until they are cancelled. A task that does not fit beside them gains
+    /// nothing if other jobs wait, and that wait would have no bound.
+    pub(in crate::leader) fn fits_beside_services(&self, id: JobId) -> bool {
+        self.inputs.cluster.jobs.get(&id).is_some_and(|job| {
+            let team = &self.inputs.ctx.cfg.teams[job.team];
+            team.tasks_within_limit(self.used_by_services[job.team], &job.spec) > 0
+        })
     }
 
     /// Reserves the machine with the most free CPUs that the job may use, and returns it. Other
--- a/crates/basaltrail-core/src/leader/scheduler/backfill.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/backfill.rs
@@ -25,10 +25,13 @@
         let Some(mut snapshot) = self.last_cycle.take() else { return };
         self.visit_count += 1;
         let used = std::mem::take(&mut snapshot.used);
-        let assigner = Assigner { scheduler: self, inputs, free: vec![capacity], used };
+        let used_by_services = std::mem::take(&mut snapshot.used_by_services);
+        let free = vec![capacity];
+        let assigner = Assigner { scheduler: self, inputs, free, used, used_by_services };
         let mut backfill = Backfill { assigner };
         backfill.run(&mut snapshot, machine);
-        snapshot.used = backfill.assigner.used;
+        let Assigner { used, used_by_services, .. } = backfill.assigner;
+        (snapshot.used, snapshot.used_by_services) = (used, used_by_services);
         self.last_cycle = Some(snapshot);
     }
 }
--- a/crates/basaltrail-core/src/leader/scheduler/cycle.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/cycle.rs
@@ -7,7 +7,7 @@
 use super::fair_share_order::TeamHead;
 use super::guarantees::TeamDemand;
 use super::reserved_capacity::{reserve_capacity, ReservedCapacity};
-use super::services::is_high_priority_service;
+use super::services::{is_high_priority_service, service_usage};
 use super::starvation::update_starved_jobs;
 use super::waiting::WaitingJobs;
 use super::{accounting, Scheduler};
@@ -33,6 +33,8 @@
     /// Upper bound of the resources that each team uses, by team index. Tasks that ended after the
     /// cycle still count.
     pub(super) used: Vec<Resources>,
+    /// Resources that the services of each team held when the cycle began, by team index.
+    pub(super) used_by_services: Vec<Resources>,
     /// Jobs of which each backfill assigns up to one task ahead of the fair-share order, since the
     /// cycle could not: jobs overdue for their first task, jobs of underserved classes, and jobs in
     /// a crash loop.
@@ -131,7 +133,8 @@
         scheduler.feasible_slack_s =
             find_feasible_slacks(ctx, inputs.cluster, scheduler.fleet_cpus, &used);
         let mut waiting = WaitingJobs::collect(&inputs);
-        let assigner = Assigner { scheduler, inputs, free, used };
+        let used_by_services = service_usage(ctx, inputs.cluster);
+        let assigner = Assigner { scheduler, inputs, free, used, used_by_services };
         let order = assigner.order();
         for jobs in &mut waiting.by_team {
             order.sort_team(jobs);
@@ -164,13 +167,14 @@
     /// blocked jobs, and stores the snapshot for backfill.
     fn finish(self) -> CycleResult {
         let Cycle { assigner, blocked, mut snapshot, .. } = self;
-        let Assigner { scheduler, inputs, free, used } = assigner;
+        let Assigner { scheduler, inputs, free, used, used_by_services } = assigner;
         let SchedulerInputs { ctx, cluster, .. } = inputs;
         scheduler.has_blocked_jobs = !blocked.is_empty();
         scheduler.update_guarantee_waits(ctx, cluster, &blocked);
         scheduler.wake_at = scheduler.next_wake_at(ctx, cluster);
         let preempted_tasks = scheduler.preempt(ctx, cluster, &blocked, &used, &free);
         snapshot.used = used;
+        snapshot.used_by_services = used_by_services;
         scheduler.last_cycle = Some(snapshot);
         CycleResult { preempted_tasks }
     }
@@ -229,7 +233,7 @@
 
     /// Reserves capacity for high-priority services that may be submitted or lose their machines.
     fn reserve_capacity(&mut self) {
-        let Assigner { scheduler, inputs, free, used } = &mut self.assigner;
+        let Assigner { scheduler, inputs, free, used, .. } = &mut self.assigner;
         self.snapshot.reserved_capacity =
             reserve_capacity(inputs.ctx, &scheduler.recent_services, free, used);
     }
@@ -264,7 +268,7 @@
     /// Assigns one task of each job that is overdue for its first task. If no machine can take it,
     /// the job is expedited, and a machine is reserved for the first such job. If the limit of the
     /// team leaves no room for it, the waiting jobs of the team are skipped in this cycle, so that
-    /// enough of the limit becomes free.
+    /// enough of the limit becomes free; not if only services could release it.
     fn assign_first_tasks(&mut self, overdue_jobs: Vec<(usize, JobId)>) {
         for (team, id) in overdue_jobs {
             if self.assigner.assign(id, 1) {
@@ -272,7 +276,9 @@
                 continue;
             }
             if self.assigner.pending_within_limit(id) == 0 {
-                self.waiting.by_team[team].clear();
+                if self.assigner.fits_beside_services(id) {
+                    self.waiting.by_team[team].clear();
+                }
                 continue;
             }
             if self.snapshot.expedited_jobs.is_empty() {
--- a/crates/basaltrail-core/src/leader/scheduler/services.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/services.rs
@@ -4,6 +4,7 @@
 use crate::leader::Context;
 use crate::machines::Machine;
 use crate::model::{JobSpec, MachineId, Priority, TaskId};
+use crate::resources::Resources;
 use std::collections::BTreeSet;
 
 /// Maximum number of other replicas that are examined to find a running one.
@@ -44,6 +45,15 @@
     with_replicas.map(|machine| machine.id.clone()).collect()
 }
 
+/// Returns the resources that the services of each team hold, by team index.
+pub(in crate::leader) fn service_usage(ctx: &Context, cluster: &Cluster) -> Vec<Resources> {
+    let mut used = vec![Resources::default(); ctx.cfg.teams.len()];
+    for job in cluster.jobs.values().filter(|job| job.spec.is_service()) {
+        used[job.team] += Resources::of_task(&job.spec) * job.placed.len() as f64;
+    }
+    used
+}
+
 /// Returns whether there is any service.
 pub(in crate::leader) fn any_service(cluster: &Cluster) -> bool {
     cluster.jobs.values().any(|job| job.spec.is_service())
--- a/crates/basaltrail-core/src/leader/scheduler/services_tests.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/services_tests.rs
@@ -9,9 +9,8 @@
 use crate::lease_renewal::RenewalConditions;
 use crate::machines::{MachineKind, TaskPhase};
 use crate::model::{
-    AgentEpoch, FencingToken, Heartbeat, JobId, Ms, TaskCommand, TaskState, TaskStatus,
+    AgentEpoch, FencingToken, Heartbeat, JobId, JobSpec, Ms, TaskCommand, TaskState, TaskStatus,
 };
-use crate::resources::Resources;
 use crate::settings::fixtures::job_spec;
 use crate::settings::Objective;
 use crate::store::calls::Calls;
@@ -208,3 +207,71 @@
         |cmd: &TaskCommand| matches!(cmd, TaskCommand::Stop { task, .. } if task.job == JobId(1));
     assert!(commands.iter().any(stops_replica), "{commands:?}");
 }
+
+/// Returns a leader whose team may use 20 CPUs, of which the tasks of `holder` hold 16. A wide job
+/// whose task takes 8 CPUs and a narrow job whose task takes 2 CPUs wait, the wide one first.
+fn leader_with_jobs_at_the_limit(holder: JobSpec) -> (TestCluster, Leader) {
+    let wide = JobSpec { cpus: 8.0, estimate_s: 500.0, ..job_spec(1, true) };
+    let narrow = JobSpec { cpus: 2.0, ..job_spec(1, true) };
+    let mut test = TestCluster::new(20.0, std::slice::from_ref(&holder));
+    test.settings.teams[0].max_cpus = 20.0;
+    let mut leader = leader_with_machines(&test, 3);
+    schedule(&test, &mut leader, 100);
+    assert_eq!(leader.cluster.jobs[&JobId(1)].pending_tasks(), 0);
+    let teams = std::mem::take(&mut test.settings.teams);
+    test = TestCluster::new(20.0, &[holder, wide, narrow]);
+    test.settings.teams = teams;
+    for id in [2, 3] {
+        leader.sync_job(&test.context(150), JobId(id));
+    }
+    (test, leader)
+}
+
+/// Guards against jobs that wait without bound beside room: what services hold of a team's limit is
+/// not released by itself, so a wide job cannot gain anything from the wait of the others. What
+/// arrays hold is released, and is kept for the wide job.
+#[test]
+fn a_job_too_wide_beside_services_does_not_hold_back_its_team() {
+    let array = JobSpec { cpus: 2.0, ..job_spec(8, true) };
+    for (holder, narrow_runs) in [(service(8, 2.0), true), (array, false)] {
+        let is_service = holder.is_service();
+        for wall_clock_ms in [0, 1_000_000] {
+            let (test, mut leader) = leader_with_jobs_at_the_limit(holder.clone());
+            leader.cluster.jobs.get_mut(&JobId(3)).unwrap().accepted_at = wall_clock_ms;
+            let ctx = Context { wall_clock_ms, ..test.context(200) };
+            leader.scheduler.earliest_cycle_at = 0;
+            leader.schedule(&ctx, &mut Calls::default(), &mut SmallRng::seed_from_u64(1));
+            assert!(machines_of(&leader, 2).is_empty());
+            assert_eq!(
+                machines_of(&leader, 3).len(),
+                narrow_runs as usize,
+                "held by services: {is_service}, the wide job waited for {wall_clock_ms} ms"
+            );
+        }
+    }
+}
+
+/// The same for a machine that is filled between two cycles.
+#[test]
+fn backfill_passes_over_a_job_too_wide_beside_services() {
+    let array = JobSpec { cpus: 2.0, ..job_spec(8, true) };
+    for (holder, narrow_runs) in [(service(8, 2.0), true), (array, false)] {
+        let is_service = holder.is_service();
+        let (test, mut leader) = leader_with_jobs_at_the_limit(holder);
+        // In the cycle, no machine accepts tasks.
+        leader.cluster.machines.values_mut().for_each(|m| m.registered_in_use = false);
+        schedule(&test, &mut leader, 200);
+        assert!(machines_of(&leader, 3).is_empty());
+        leader.cluster.machines.values_mut().for_each(|m| m.registered_in_use = true);
+        let ids: Vec<MachineId> = leader.cluster.machines.keys().cloned().collect();
+        for id in ids {
+            leader.backfill(&test.context(200), &id, &mut SmallRng::seed_from_u64(1));
+        }
+        assert!(machines_of(&leader, 2).is_empty());
+        assert_eq!(
+            machines_of(&leader, 3).len(),
+            narrow_runs as usize,
+            "held by services: {is_service}"
+        );
+    }
+}
