Core tests: one fixture for a heartbeat

The regression test of loading wrote out a heartbeat that two other tests have as well. They now share fixtures::heartbeat and override what differs.

--- a/crates/basaltrail-core/src/leader/failover/recovery_tests.rs
+++ b/crates/basaltrail-core/src/leader/failover/recovery_tests.rs
@@ -4,8 +4,8 @@
 use crate::leader::autoscaler::partitions::is_silent_since_failover;
 use crate::leader::scheduler::test_cluster::TestCluster;
 use crate::lease_renewal::RenewalConditions;
-use crate::model::{AgentEpoch, FencingToken, Heartbeat, JobSpec, MachineId, Revision};
-use crate::settings::fixtures::job_spec;
+use crate::model::{FencingToken, JobSpec, MachineId, Revision};
+use crate::settings::fixtures::{heartbeat, job_spec};
 use crate::store::records::{completions_key, encode, machine_registry_key, LEDGER_KEY};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -82,18 +82,7 @@
 /// Has the leader answer a heartbeat of m-1 that does not carry the leader's token.
 fn answer_heartbeat_of_m_1(test: &TestCluster, leader: &mut Leader) {
     let ctx = test.context(ANSWERED_AT);
-    let heartbeat = Heartbeat {
-        machine: MachineId("m-1".into()),
-        endpoint: "e".into(),
-        machine_type: "x".into(),
-        zone: "a".into(),
-        spot: false,
-        agent_epoch: AgentEpoch(1),
-        sequence: 1,
-        token: FencingToken(1),
-        reclaim_notice_s: None,
-        tasks: Vec::new(),
-    };
+    let heartbeat = heartbeat("m-1", FencingToken(1));
     let conditions = RenewalConditions {
         cfg: ctx.cfg,
         job_cache: ctx.job_cache,
--- a/crates/basaltrail-core/src/leader/scheduler/services_tests.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/services_tests.rs
@@ -9,9 +9,9 @@
 use crate::lease_renewal::RenewalConditions;
 use crate::machines::{MachineKind, TaskPhase};
 use crate::model::{
-    AgentEpoch, FencingToken, Heartbeat, JobId, JobSpec, Ms, TaskCommand, TaskState, TaskStatus,
+    AgentEpoch, FencingToken, JobId, JobSpec, Ms, TaskCommand, TaskState, TaskStatus,
 };
-use crate::settings::fixtures::job_spec;
+use crate::settings::fixtures::{heartbeat, job_spec};
 use crate::settings::Objective;
 use crate::store::calls::Calls;
 use rand::rngs::SmallRng;
@@ -177,18 +177,8 @@
     let mut leader = leader_with_machines(&test, 2);
     schedule(&test, &mut leader, 100);
     let id = MachineId(machines_of(&leader, 1)[0].as_str().into());
-    let mut heartbeat = Heartbeat {
-        machine: id.clone(),
-        endpoint: "e".into(),
-        machine_type: "x".into(),
-        zone: "a".into(),
-        spot: false,
-        agent_epoch: AgentEpoch(1),
-        sequence: 1,
-        token: FencingToken(2),
-        reclaim_notice_s: Some(12.0),
-        tasks: Vec::new(),
-    };
+    let mut heartbeat = heartbeat(&id.to_string(), FencingToken(2));
+    heartbeat.reclaim_notice_s = Some(12.0);
     let slots = &mut leader.cluster.machines.get_mut(&id).unwrap().slots;
     for ((task, attempt), slot) in slots.iter_mut() {
         slot.phase = TaskPhase::Confirmed(TaskState::Running);
--- a/crates/basaltrail-core/src/lease_renewal_tests.rs
+++ b/crates/basaltrail-core/src/lease_renewal_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
-use crate::model::{AgentEpoch, ExitReason, JobOutcome, MachineId, Revision};
-use crate::settings::fixtures::{job_spec, settings};
+use crate::model::{ExitReason, JobOutcome, Revision};
+use crate::settings::fixtures::{self, job_spec, settings};
 use crate::store::records::JobRecord;
 
 const ACTIVE: JobId = JobId(1);
@@ -19,18 +19,7 @@
 }
 
 fn heartbeat(tasks: Vec<TaskStatus>) -> Heartbeat {
-    Heartbeat {
-        machine: MachineId("m-1".into()),
-        endpoint: "e".into(),
-        machine_type: "x".into(),
-        zone: "a".into(),
-        spot: false,
-        agent_epoch: AgentEpoch(1),
-        sequence: 1,
-        token: FencingToken(1),
-        reclaim_notice_s: None,
-        tasks,
-    }
+    Heartbeat { tasks, ..fixtures::heartbeat("m-1", FencingToken(1)) }
 }
 
 /// Returns the commands of the answer to a heartbeat at 40 s, by a controller that has held a valid
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -302,7 +302,9 @@
 #[cfg(test)]
 pub(crate) mod fixtures {
     use super::{Policy, Settings};
-    use crate::model::{JobKind, JobSpec, MachineType, Priority};
+    use crate::model::{
+        AgentEpoch, FencingToken, Heartbeat, JobKind, JobSpec, MachineId, MachineType, Priority,
+    };
 
     pub(crate) fn settings() -> Settings {
         Settings {
@@ -353,6 +355,22 @@
         }
     }
 
+    /// Returns the first heartbeat of a machine without tasks.
+    pub(crate) fn heartbeat(machine: &str, token: FencingToken) -> Heartbeat {
+        Heartbeat {
+            machine: MachineId(machine.into()),
+            endpoint: "e".into(),
+            machine_type: "x".into(),
+            zone: "a".into(),
+            spot: false,
+            agent_epoch: AgentEpoch(1),
+            sequence: 1,
+            token,
+            reclaim_notice_s: None,
+            tasks: Vec::new(),
+        }
+    }
+
     pub(crate) fn machine_type() -> MachineType {
         MachineType {
             name: "x".into(),
