--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -578,6 +578,7 @@
     rps, write_rps, value_kb, txn_ops = 120.0, 40.0, 16.0, 24
     cloud_rps, lag_s = 5.0, 3.0
     teams = [("cataloguers", 224.0, 664.0), ("buyers", 264.0, 664.0)]
+    link_class = Link
 
     def __init__(self, folder):
         self.folder = folder
@@ -586,6 +587,7 @@
         self.nodes = [f"stack-{i}" for i in range(3)]
         self.jobs, self.done, self.running = {}, set(), {}
         self.processes, self.workers, self.state_links, self.cloud_links = [], {}, [], []
+        self.worker_links = []
         self.listen, self.peer = [], []
         self.temporary = tempfile.TemporaryDirectory(prefix="basaltrail-review-")
         self.record.write("case", trouble=self.trouble)
@@ -680,7 +682,10 @@
         self.processes = [None] * len(self.nodes)
         for index, name in enumerate(self.nodes):
             link = Link(await self.state.listen(name))
-            cloud_link = Link(cloud_port)
+            cloud_link = self.link_class(cloud_port)
+            worker_link = Link(self.listen[index])
+            await worker_link.start()
+            self.worker_links.append(worker_link)
             self.state_links.append(link)
             self.cloud_links.append(cloud_link)
             text = self.settings(index, await link.start(), await cloud_link.start())
