--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -142,6 +142,7 @@
         self.open.set()
         self.port = None
         self.listener = None
+        self.writers = set()
 
     async def start(self):
         self.listener = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
@@ -154,6 +155,15 @@
     def release(self):
         self.open.set()
 
+    def refuse(self):
+        """Resets all connections and refuses new ones until `accept_again`."""
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def accept_again(self):
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", self.port, backlog=512)
+
     async def _serve(self, reader, writer):
         await self.open.wait()
         try:
@@ -161,7 +171,9 @@
         except OSError:
             writer.close()
             return
+        self.writers |= {writer, up_writer}
         await asyncio.gather(self._pump(reader, up_writer), self._pump(up_reader, writer))
+        self.writers -= {writer, up_writer}
 
     async def _pump(self, reader, writer):
         try:
@@ -587,7 +599,7 @@
         self.nodes = [f"stack-{i}" for i in range(3)]
         self.jobs, self.done, self.running = {}, set(), {}
         self.processes, self.workers, self.state_links, self.cloud_links = [], {}, [], []
-        self.worker_links = []
+        self.worker_links, self.peer_links = [], []
         self.listen, self.peer = [], []
         self.temporary = tempfile.TemporaryDirectory(prefix="basaltrail-review-")
         self.record.write("case", trouble=self.trouble)
@@ -625,7 +637,7 @@
             if other != index:
                 lines += ["[[members]]", f'node_name = "{self.nodes[other]}"',
                           f'zone = "{self.zones[other]}"',
-                          f'endpoint = "127.0.0.1:{self.peer[other]}"']
+                          f'endpoint = "127.0.0.1:{self.peer_links[other].port}"']
         lines += ["[endpoints]", f'cloud = "127.0.0.1:{cloud_port}"',
                   f'state = "127.0.0.1:{state_port}"', "[params]", f"size = {len(self.nodes)}",
                   'zones = ["toowong-store", "valley-room"]', "clock_error_ms = 25.0"]
@@ -680,6 +692,9 @@
         self.listen = [free_port() for _ in self.nodes]
         self.peer = [free_port() for _ in self.nodes]
         self.processes = [None] * len(self.nodes)
+        for port in self.peer:
+            self.peer_links.append(Link(port))
+            await self.peer_links[-1].start()
         for index, name in enumerate(self.nodes):
             link = Link(await self.state.listen(name))
             cloud_link = self.link_class(cloud_port)
