--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -368,11 +368,11 @@
         self.on_rent = None
         self.last = 0
 
-    def add(self, zone, spot=False):
+    def add(self, zone, spot=False, format=None):
         self.last += 1
         name = f"m-{self.last:06d}"
         self.machines[name] = {"nameId": name, "endpoint": "127.0.0.1:9", "format":
-                               self.type["name"], "room": zone, "remainders": spot,
+                               format or self.type["name"], "room": zone, "remainders": spot,
                                "condition": "running", "at": now()}
         return name
 
@@ -396,7 +396,8 @@
                 if number == 0:
                     return 503, {"error": "no capacity"}
                 self.spare -= number
-                names = [self.add(body["room"], body["remainders"]) for _ in range(number)]
+                names = [self.add(body["room"], body["remainders"], body["format"])
+                         for _ in range(number)]
                 for name in names:
                     self.machines[name]["condition"] = "starting"
                     if self.on_rent:
@@ -430,8 +431,9 @@
 class Worker:
     """The worker of one machine (PROTOCOL, Workers -> controller nodes)."""
 
-    def __init__(self, case, name, zone, cpus, ram_gb):
-        self.case, self.name, self.zone, self.cpus, self.ram = case, name, zone, cpus, ram_gb
+    def __init__(self, case, name, machine, cpus, ram_gb):
+        self.case, self.name, self.cpus, self.ram = case, name, cpus, ram_gb
+        self.zone, self.format, self.spot = (machine[k] for k in ("room", "format", "remainders"))
         self.tenure, self.folio, self.warrant = 1, 0, 0
         self.lease_from = now()
         self.tasks = {}            # (leaf, printing) -> dict
@@ -527,8 +529,8 @@
             self.folio += 1
             tenure = self.tenure
             body = {"stack": self.name, "endpoint": "127.0.0.1:9",
-                    "format": self.case.machine_type["name"], "room": self.zone,
-                    "remainders": False, "tenure": tenure, "folio": self.folio,
+                    "format": self.format, "room": self.zone,
+                    "remainders": self.spot, "tenure": tenure, "folio": self.folio,
                     "warrant": self.warrant, "recallS": None, "leaves": self.leaves()}
             size = len(json.dumps(body, separators=(",", ":")))
             try:
@@ -573,10 +575,18 @@
 
 # ---------------------------------------------------------------- a case
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+def free_port(taken=set()):
+    """A free port below the range from which the system takes ports for connections."""
+    while True:
+        port = random.randrange(15_000, 32_000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken:
+            taken.add(port)
+            return port
 
 
 class Case:
@@ -628,6 +638,9 @@
     def worker_port(self, node):
         return self.listen[node]
 
+    def serve_cloud(self, cloud):
+        return cloud.handle
+
     # The deployment.
     def settings(self, index, state_port, cloud_port):
         lines = [f'node_name = "{self.nodes[index]}"', f'zone = "{self.zones[index]}"',
@@ -640,7 +653,7 @@
                           f'endpoint = "127.0.0.1:{self.peer_links[other].port}"']
         lines += ["[endpoints]", f'cloud = "127.0.0.1:{cloud_port}"',
                   f'state = "127.0.0.1:{state_port}"', "[params]", f"size = {len(self.nodes)}",
-                  'zones = ["toowong-store", "valley-room"]', "clock_error_ms = 25.0"]
+                  f"zones = {json.dumps(sorted(set(self.zones)))}", "clock_error_ms = 25.0"]
         for name, cpus, cpus_max in self.teams:
             lines += ["[[params.teams]]", f'name = "{name}"', f"cpus = {cpus}",
                       f"cpus_max = {cpus_max}", "gpus = 0.0", "gpus_max = 0.0"]
@@ -688,7 +701,7 @@
         self.cloud.on_rent = self.rent_machine
         asyncio.create_task(self.state.expire())
         asyncio.create_task(self.cloud.keep_snapshots())
-        _, cloud_port = await serve_http(self.cloud.handle)
+        _, cloud_port = await serve_http(self.serve_cloud(self.cloud))
         self.listen = [free_port() for _ in self.nodes]
         self.peer = [free_port() for _ in self.nodes]
         self.processes = [None] * len(self.nodes)
@@ -726,8 +739,8 @@
         self.record.write("ready")
 
     def add_worker(self, name):
-        zone = self.cloud.machines[name]["room"]
-        worker = Worker(self, name, zone, self.machine_type["vcpus"], self.machine_type["ramGb"])
+        machine = self.cloud.machines[name]
+        worker = Worker(self, name, machine, self.machine_type["vcpus"], self.machine_type["ramGb"])
         self.workers[name] = worker
         asyncio.create_task(worker.run())
 
