--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -818,9 +818,11 @@
 def main(case_class):
     """Runs a case: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     case = case_class(os.path.dirname(os.path.abspath(sys.argv[0])))
+    # A run that is ended early ends its controllers, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def run():
-        return await asyncio.wait_for(case.run(), 112.0)
+        return await asyncio.wait_for(case.run(), 114.0)
 
     status = 2
     try:
@@ -831,7 +833,7 @@
         asyncio.set_event_loop(loop)
         # The loop is not closed: the process ends below, and with it everything that still runs.
         status = 1 if loop.run_until_complete(run()) else 0
-    except (Unable, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # also a fault of the script: only a broken rule gives 1
         case.record.write("could_not_run", reason=repr(error))
         print("could not run:", repr(error))
     finally:
