--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,95 +1,61 @@
-"""Case 7: a release of a replaced leader is carried out late, on a machine with running tasks."""
+"""Case 7: without frames from the leader, controllers call a running job queued."""
 import asyncio
 import os
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-from rig_2 import Case, Link, Unable, main, now  # noqa: E402
+from rig_2 import Case, Unable, main, now  # noqa: E402
 
-CUT_S = 40.0
+JOB = "job-000400"
+REFUSED_S = 20.0
+LAG_S = 3.0
 
 
-class ReleaseLink(Link):
-    """The link of a controller to the cloud; calls `on_release` when a release passes through."""
-
-    on_release = None
-
-    async def _pump(self, reader, writer):
-        try:
-            while True:
-                data = await reader.read(65536)
-                if self.on_release and b"POST /rentals/release" in data:
-                    self.on_release(self)
-                await self.open.wait()
-                if not data:
-                    break
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        finally:
-            writer.close()
-
-
-class LateRelease(Case):
-    # Guarantees below the machines that are up, so that the leader returns idle machines.
-    teams = [("cataloguers", 8.0, 664.0), ("buyers", 8.0, 664.0)]
-    cut = None
+class WrongCondition(Case):
+    first_start = None
 
     def run_s(self, leaf):
-        return 70.0
+        return 60.0
 
     def on_order(self, worker, node, sent, order):
         pass
 
-    def worker_port(self, node):
-        return self.worker_links[node].port
-
-    def on_release_sent(self, link):
-        """The leader sends a release: it loses the network at this moment."""
-        if self.cut is None:
-            self.cut = self.cloud_links.index(link)
-            for links in (self.cloud_links, self.state_links, self.worker_links):
-                links[self.cut].hold()
-            self.record.write("cut_from_network", node=self.nodes[self.cut])
-
-    def release_machine(self, name):
-        worker = self.workers.get(name)
-        live = [leaf for (leaf, _), t in worker.tasks.items() if t["state"] == "running"]
-        self.released.append((name, round(now(), 2), live))
-        self.record.write("gone", stack=name, running=live)
-        super().release_machine(name)
+    def on_start(self, worker, leaf, printing):
+        super().on_start(worker, leaf, printing)
+        if self.first_start is None:
+            self.first_start = now()
 
     async def run(self):
-        self.released = []
-        self.link_class = ReleaseLink
-        await self.start(["valley-room", "toowong-store"] * 3)
+        await self.start(["valley-room", "toowong-store", "valley-room"])
+        await asyncio.sleep(3)
+        await self.leader()
+        refused_at = now()
         if self.trouble:
-            for link in self.cloud_links:
-                link.on_release = self.on_release_sent
-        while self.cut is None and not self.released:
-            if now() > 45:
-                raise Unable("no machine was returned")
-            await asyncio.sleep(0.05)
-        start = now()
-        node = 0 if self.cut != 0 else 1
-        await asyncio.sleep(6)
-        job = self.job("job-000300", leaves=48, reckonS=70.0)
-        if not await self.submit(job, node):
+            for link in self.peer_links:
+                link.refuse()
+            self.record.write("peers_refuse")
+        if not await self.submit(self.job(JOB, leaves=12, reckonS=60.0)):
             raise Unable("the job was not accepted")
-        await asyncio.sleep(max(0.0, start + CUT_S - now()))
-        before = len(self.released)
-        if self.trouble:
-            for links in (self.cloud_links, self.state_links, self.worker_links):
-                links[self.cut].release()
-        self.record.write("cut_ended")
-        await asyncio.sleep(8)
-        lost = [(name, at, live) for name, at, live in self.released if live]
-        for name, at, live in lost:
-            print(f"{name} was returned at {at} s with {len(live)} running tasks: {live[:3]} ...")
-        print(f"{len(self.released)} machines returned, {before} of them before the cut ended; "
-              f"{len(lost)} with running tasks")
-        return bool(lost)
-
-
-main(LateRelease)
+        wrong = []
+        while now() < refused_at + REFUSED_S:
+            await asyncio.sleep(1.0)
+            for node in range(len(self.nodes)):
+                sent, running = now(), sum(len(m) for m in self.running.values())
+                status, answer = await self.ask(node, "GET", f"/api/jobs/{JOB}", timeout=2.0)
+                still = sum(len(m) for m in self.running.values())
+                if status == 200 and answer["condition"] == "queued" and self.first_start \
+                        and sent > self.first_start + LAG_S and min(running, still) > 0:
+                    wrong.append((self.nodes[node], round(sent - self.first_start, 1), still))
+        if self.first_start is None:
+            raise Unable("no task was started")
+        for link in self.peer_links:
+            if self.trouble:
+                await link.accept_again()
+        for node, seconds, running in wrong[:6]:
+            print(f"{node} said queued {seconds} s after the first task had started; "
+                  f"{running} tasks were running")
+        print(f"{len(wrong)} answers said queued more than {LAG_S:.0f} s after the first start")
+        return bool(wrong)
+
+
+main(WrongCondition)
