Store which jobs run, so that every controller tells it

Cause: whether a job runs was known to the leader alone, in memory. The others took it from progress messages that only the leader sends, and took a missing or old count for "no task runs"; a new leader, and a controller that has just started, began without counts. Nothing limited their age.

Change: the leader stores a run state per job (`j/r/JOB`, one field) when a job starts or stops running, at most once a second, in a transaction that requires its own record and each replaced record to be unchanged. All controllers read it by the watch of the jobs that they have anyway. A job is running if the stored state or a recent count says so; counts expire, and are cleared by a stored "does not run". A new leader keeps a stored "runs" while a task may run on a machine that it has not heard from. Run states of ended jobs are deleted. The log says when progress of a leader is missing, and when it arrives again.

Two other tests changed, because more messages shift the random numbers: `all_controllers_agree_on_statuses_read_back` needs a cancellation right after an acceptance, which was left to chance and is now certain; and `highest_configured_limit_holds_over_leader_changes` submitted a service of 10 CPUs under a limit of 8, which PROTOCOL lets a controller refuse (422; the job was never accepted); its services now fit every limit.

--- a/crates/basaltrail-core/src/controller/client_requests.rs
+++ b/crates/basaltrail-core/src/controller/client_requests.rs
@@ -139,7 +139,9 @@
         if self.job_cache.outcome(job).is_none() {
             return false;
         }
-        let Some(answer) = self.requests.job_answer(&self.job_cache, job) else { return false };
+        let Some(answer) = self.requests.job_answer(self.now, &self.job_cache, job) else {
+            return false;
+        };
         self.calls.answer(request_id, answer);
         true
     }
--- a/crates/basaltrail-core/src/controller/heartbeats.rs
+++ b/crates/basaltrail-core/src/controller/heartbeats.rs
@@ -124,6 +124,7 @@
         let (token, revision) = self.election.last_token_and_revision();
         let leader = leader.map(str::to_string);
         self.logged_leader.clone_from(&leader);
+        self.leader_seen_at = self.now;
         self.calls.log(LeadershipEvent::LeaderSeen { leader, term: token, revision });
     }
 }
--- a/crates/basaltrail-core/src/controller/job_lookups.rs
+++ b/crates/basaltrail-core/src/controller/job_lookups.rs
@@ -99,7 +99,9 @@
                 for JobConfirmation { job, requests, expects_active } in jobs {
                     // If the confirmed record has since been removed from the job cache, the job
                     // has ended and its outcome is read.
-                    if expects_active && self.requests.job_answer(&self.job_cache, job).is_none() {
+                    if expects_active
+                        && self.requests.job_answer(self.now, &self.job_cache, job).is_none()
+                    {
                         self.requests.queue_lookup(job, requests);
                     } else {
                         self.answer_confirmed(job, requests);
@@ -165,7 +167,7 @@
     fn handle_found_record(&mut self, item: &KeyValue, job: JobId, requests: Vec<ClientRequest>) {
         self.apply_unordered(item);
         // An unreadable record does not mean that the job does not exist, so the answer is not 404.
-        match self.requests.job_answer(&self.job_cache, job) {
+        match self.requests.job_answer(self.now, &self.job_cache, job) {
             Some(_) => self.answer_confirmed(job, requests),
             None => {
                 let reason = UnavailableReason::RecordUnreadable;
@@ -234,7 +236,7 @@
                 self.cancel(job, vec![request]);
                 continue;
             }
-            let job_answer = self.requests.job_answer(&self.job_cache, job);
+            let job_answer = self.requests.job_answer(self.now, &self.job_cache, job);
             let answer = match (job_answer, request.kind) {
                 (Some(answer), _) => answer,
                 (None, RequestKind::Submit) => self.not_accepted_answer(request.rejection),
--- a/crates/basaltrail-core/src/controller/job_watching.rs
+++ b/crates/basaltrail-core/src/controller/job_watching.rs
@@ -9,8 +9,8 @@
 use crate::store::calls::{ListRange, StorePurpose};
 use crate::store::rate_limiter::CallPriority;
 use crate::store::records::{
-    active_job_key, decode, parse_job_id, JobRecord, ACTIVE_JOBS_PREFIX, ADMISSION_PREFIX,
-    JOBS_PREFIX, OUTCOMES_PREFIX,
+    active_job_key, decode, parse_job_id, run_state_key, JobRecord, ACTIVE_JOBS_PREFIX,
+    ADMISSION_PREFIX, JOBS_PREFIX, OUTCOMES_PREFIX, RUN_STATES_PREFIX,
 };
 use std::collections::BTreeSet;
 
@@ -124,16 +124,14 @@
         for item in &items {
             self.apply_unordered(item);
         }
-        if range == ListRange::Jobs {
-            self.remove_unlisted(&items, after.as_deref(), more, revision);
-        }
+        self.remove_unlisted(range, &items, after.as_deref(), more, revision);
         // The watch starts at the revision of the first page.
         let list_revision = self.job_watch.record_page(revision);
         if more {
             return self.send_list(range, items.last().map(|item| item.key.clone()), sent_at);
         }
-        if range == ListRange::Jobs && self.admission.quotas_enforced() {
-            return self.send_list(ListRange::Admission, None, sent_at);
+        if let Some(next_range) = range.next(self.admission.quotas_enforced()) {
+            return self.send_list(next_range, None, sent_at);
         }
         self.job_watch.complete_list(sent_at);
         self.calls.log(JobEvent::Listed {
@@ -143,26 +141,38 @@
         });
     }
 
-    /// Removes the active jobs that the job cache holds and a page does not list, in the page's key
-    /// range.
+    /// Removes the active jobs or run states that the job cache holds and a page does not list, in
+    /// the page's key range. Admission records are never deleted.
     fn remove_unlisted(
         &mut self,
+        range: ListRange,
         items: &[KeyValue],
         after: Option<&str>,
         more: bool,
         revision: Revision,
     ) {
-        let from = after.unwrap_or(ACTIVE_JOBS_PREFIX);
+        let from = after.unwrap_or(range.prefix());
         let to = items.last().filter(|_| more).map(|item| item.key.as_str());
         let listed: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-        let in_range = |key: &str| key > from && to.is_none_or(|to| key <= to);
-        let unlisted = |job: &&JobId| {
-            let key = active_job_key(**job);
-            in_range(&key) && !listed.contains(key.as_str())
+        let is_unlisted = |key: String| {
+            let in_range = key.as_str() > from && to.is_none_or(|to| key.as_str() <= to);
+            in_range && !listed.contains(key.as_str())
         };
-        let removed: Vec<JobId> = self.job_cache.active.keys().filter(unlisted).copied().collect();
-        for job in removed {
-            self.job_cache.remove_active(job, revision.next());
+        let cache = &mut self.job_cache;
+        let deleted_at = revision.next();
+        match range {
+            ListRange::Jobs => {
+                let unlisted = |job: &&JobId| is_unlisted(active_job_key(**job));
+                let removed: Vec<JobId> = cache.active.keys().filter(unlisted).copied().collect();
+                removed.into_iter().for_each(|job| cache.remove_active(job, deleted_at));
+            }
+            ListRange::RunStates => {
+                let unlisted = |job: &&JobId| is_unlisted(run_state_key(**job));
+                let removed: Vec<JobId> =
+                    cache.run_states.keys().filter(unlisted).copied().collect();
+                removed.into_iter().for_each(|job| cache.remove_run_state(job, deleted_at));
+            }
+            ListRange::Admission => {}
         }
     }
 
@@ -172,6 +182,9 @@
             WatchEvent::Delete { key, mod_revision } => {
                 if let Some(job) = key.strip_prefix(ACTIVE_JOBS_PREFIX).and_then(parse_job_id) {
                     self.job_cache.remove_active(job, *mod_revision);
+                } else if let Some(job) = key.strip_prefix(RUN_STATES_PREFIX).and_then(parse_job_id)
+                {
+                    self.job_cache.remove_run_state(job, *mod_revision);
                 }
             }
         }
@@ -193,8 +206,22 @@
             if let Some(outcome) = decode(&item.value) {
                 self.job_cache.put_outcome(job, outcome);
             }
+        } else if let Some(job) = item.key.strip_prefix(RUN_STATES_PREFIX).and_then(parse_job_id) {
+            self.apply_run_state(item, job, in_order);
         } else if item.key.starts_with(ADMISSION_PREFIX) {
             self.apply_admission_record(item, in_order);
         }
     }
+
+    /// Applies a run state to the job cache. An event of a watch is skipped if the other watch has
+    /// returned later changes, since the record may have been deleted by one of these.
+    fn apply_run_state(&mut self, item: &KeyValue, job: JobId, in_order: bool) {
+        let is_known = in_order && Some(item.mod_revision) <= self.job_watch.revision();
+        if let Some(record) = decode(&item.value).filter(|_| !is_known) {
+            self.job_cache.put_run_state(job, item.mod_revision, record);
+            if !record.is_running {
+                self.requests.record_no_running_tasks(job);
+            }
+        }
+    }
 }
--- a/crates/basaltrail-core/src/controller/mod.rs
+++ b/crates/basaltrail-core/src/controller/mod.rs
@@ -11,6 +11,7 @@
 mod job_lookups;
 mod job_watching;
 mod machine_types;
+mod progress;
 pub mod request_queue;
 mod store_replies;
 mod submissions;
@@ -71,6 +72,8 @@
     last_store_reply_at: Ms,
     /// Time of the last progress message from a peer; only leaders send them.
     last_peer_progress_at: Ms,
+    /// Whether the log says that progress of the leader is missing.
+    progress_missing_logged: bool,
     /// True if the rate limiters are set for a leader; `None` before the first step.
     rates_set_for_leader: Option<bool>,
     /// True if each answer to a heartbeat and each watch reply is logged, which costs time per
@@ -81,6 +84,8 @@
     next_heartbeat_summary_at: Ms,
     /// Leader in the last `leader_seen` event that was logged.
     logged_leader: Option<String>,
+    /// Time of that event.
+    leader_seen_at: Ms,
 }
 
 impl Controller {
@@ -103,18 +108,20 @@
             }),
             job_cache: JobCache::new(max_outcomes),
             job_watch: JobWatch::default(),
-            requests: RequestQueue::default(),
+            requests: RequestQueue::new(cfg.max_progress_age_ms()),
             admission: ControllerAdmission::new(&cfg),
             machine_types: MachineTypes::default(),
             lease_held_since: None,
             leader: None,
             last_store_reply_at: 0,
             last_peer_progress_at: 0,
+            progress_missing_logged: false,
             rates_set_for_leader: None,
             verbose: false,
             heartbeat_counters: AnswerCounters::default(),
             next_heartbeat_summary_at: 0,
             logged_leader: None,
+            leader_seen_at: 0,
             cfg,
         }
     }
@@ -175,12 +182,7 @@
             }
             Input::Store { call_id, reply } => self.handle_store_reply(call_id, reply),
             Input::Cloud { call_id, reply } => self.handle_cloud_reply(call_id, reply),
-            Input::PeerProgress { progress } => {
-                self.last_peer_progress_at = self.now;
-                if self.leader.is_none() {
-                    self.requests.update_progress(&self.job_cache, &progress);
-                }
-            }
+            Input::PeerProgress { progress } => self.handle_peer_progress(&progress),
         }
         self.run_due_work();
         std::mem::take(&mut self.calls.effects)
@@ -232,7 +234,8 @@
         self.send_lookups();
         self.run_leader();
         self.queue_unknown_job_lookups();
-        self.broadcast_progress();
+        self.publish_progress();
+        self.log_missing_progress();
         self.log_heartbeat_summary();
         self.log_leader_change();
     }
@@ -334,22 +337,6 @@
             self.election.resign(self.now, self.cfg.leader_lease_ms() * 2);
         }
     }
-
-    /// Sends task progress to the peers once per heartbeat interval while this controller leads.
-    fn broadcast_progress(&mut self) {
-        if !self.election.holds_valid_lease(self.now) {
-            return;
-        }
-        let Some(leader) = self.leader.as_mut() else { return };
-        if !leader.is_loaded() || self.now < leader.next_progress_at {
-            return;
-        }
-        leader.next_progress_at = self.now + self.cfg.heartbeat_interval_ms;
-        let progress = leader.progress();
-        let counts = progress.iter().map(|progress| (progress.job, progress.into()));
-        self.requests.task_counts = counts.collect();
-        self.calls.effects.push(Effect::BroadcastProgress { progress });
-    }
 }
 
 #[cfg(test)]
--- a/crates/basaltrail-core/src/controller/request_queue.rs
+++ b/crates/basaltrail-core/src/controller/request_queue.rs
@@ -101,11 +101,13 @@
     pub done: u32,
     /// Number of running tasks.
     pub running: u32,
+    /// Time at which the counts were received.
+    pub received_at: Ms,
 }
 
-impl From<&Progress> for TaskCounts {
-    fn from(progress: &Progress) -> Self {
-        TaskCounts { done: progress.done, running: progress.running }
+impl TaskCounts {
+    fn new(progress: &Progress, received_at: Ms) -> Self {
+        TaskCounts { done: progress.done, running: progress.running, received_at }
     }
 }
 
@@ -131,10 +133,17 @@
     /// Number of unanswered requests, in this queue or in calls in flight, which is limited.
     pub waiting_count: usize,
     /// Task counts last received from the leader.
-    pub task_counts: HashMap<JobId, TaskCounts>,
+    task_counts: HashMap<JobId, TaskCounts>,
+    /// Age above which counts do not show any more that tasks run, in milliseconds.
+    max_count_age_ms: Ms,
 }
 
 impl RequestQueue {
+    /// Creates an empty queue. Task counts show for `max_count_age_ms` that tasks run.
+    pub fn new(max_count_age_ms: Ms) -> Self {
+        RequestQueue { max_count_age_ms, ..RequestQueue::default() }
+    }
+
     /// Queues a confirmation of a job for a new request and counts the request as waiting.
     pub fn queue_confirmation(&mut self, now: Ms, job: JobId, request: ClientRequest) {
         if self.unconfirmed.is_empty() {
@@ -198,16 +207,36 @@
 
     /// Applies progress received from the leader. The progress of many jobs arrives in several
     /// messages, so counts from earlier messages are kept while their jobs are active.
-    pub fn update_progress(&mut self, job_cache: &JobCache, progress: &[Progress]) {
+    pub fn update_progress(&mut self, now: Ms, job_cache: &JobCache, progress: &[Progress]) {
         let is_active = |job: &JobId| job_cache.active.contains_key(job);
         self.task_counts.retain(|job, _| is_active(job));
         let active_jobs = progress.iter().filter(|progress| is_active(&progress.job));
-        self.task_counts.extend(active_jobs.map(|progress| (progress.job, progress.into())));
+        self.task_counts
+            .extend(active_jobs.map(|progress| (progress.job, TaskCounts::new(progress, now))));
+    }
+
+    /// Records that no task of a job runs, as the leader has stored.
+    pub fn record_no_running_tasks(&mut self, job: JobId) {
+        if let Some(counts) = self.task_counts.get_mut(&job) {
+            counts.running = 0;
+        }
+    }
+
+    /// Returns the number of running tasks to show for an active job. It is 0, which makes the job
+    /// queued, only if neither recent counts nor the store say that a task runs: counts are missing
+    /// while no messages of the leader arrive, and the stored state lags while writes are slow.
+    fn running_tasks(&self, now: Ms, job_cache: &JobCache, job: JobId) -> u32 {
+        let counts = self.task_counts.get(&job).copied().unwrap_or_default();
+        if job_cache.is_stored_as_running(job) {
+            return counts.running.max(1);
+        }
+        let are_recent = now <= counts.received_at + self.max_count_age_ms;
+        counts.running * u32::from(are_recent)
     }
 
     /// Returns the answer for a job whose cached state has just been confirmed, or `None` if the
     /// job is not known.
-    pub fn job_answer(&self, job_cache: &JobCache, job: JobId) -> Option<Answer> {
+    pub fn job_answer(&self, now: Ms, job_cache: &JobCache, job: JobId) -> Option<Answer> {
         let answer = |status, done, running| Some(Answer::Job { job, status, done, running });
         match job_cache.outcome(job) {
             Some(JobOutcome::Done) => return answer(JobStatus::Done, 0, 0),
@@ -218,8 +247,9 @@
         let counts = self.task_counts.get(&job).copied().unwrap_or_default();
         // Only a durable outcome makes a job done, never the task counts.
         let done = counts.done.min(active.spec.tasks);
-        let status = if counts.running > 0 { JobStatus::Running } else { JobStatus::Queued };
-        answer(status, done, counts.running)
+        let running = self.running_tasks(now, job_cache, job);
+        let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
+        answer(status, done, running)
     }
 }
 
--- a/crates/basaltrail-core/src/controller/request_queue_tests.rs
+++ b/crates/basaltrail-core/src/controller/request_queue_tests.rs
@@ -32,14 +32,14 @@
     }
     let mut queue = RequestQueue::default();
     let message = |job| [Progress { job: JobId(job), done: 1, running: 2 }];
-    queue.update_progress(&job_cache, &message(1));
-    queue.update_progress(&job_cache, &message(2));
-    queue.update_progress(&job_cache, &message(3));
+    queue.update_progress(0, &job_cache, &message(1));
+    queue.update_progress(0, &job_cache, &message(2));
+    queue.update_progress(0, &job_cache, &message(3));
     let counts = |queue: &RequestQueue, job| queue.task_counts.get(&JobId(job)).copied();
-    assert_eq!(counts(&queue, 1), Some(TaskCounts { done: 1, running: 2 }));
-    assert_eq!(counts(&queue, 2), Some(TaskCounts { done: 1, running: 2 }));
+    assert_eq!(counts(&queue, 1), Some(TaskCounts { done: 1, running: 2, received_at: 0 }));
+    assert_eq!(counts(&queue, 2), Some(TaskCounts { done: 1, running: 2, received_at: 0 }));
     assert_eq!(counts(&queue, 3), None, "no such job");
     job_cache.put_outcome(JobId(1), JobOutcome::Done);
-    queue.update_progress(&job_cache, &message(2));
+    queue.update_progress(0, &job_cache, &message(2));
     assert_eq!(counts(&queue, 1), None, "counts of an ended job are removed");
 }
--- a/crates/basaltrail-core/src/controller/store_replies.rs
+++ b/crates/basaltrail-core/src/controller/store_replies.rs
@@ -58,6 +58,9 @@
                     leader.handle_refresh_reply(key, reply)
                 });
             }
+            StorePurpose::WriteRunStates { token, changes } => {
+                self.handle_run_states_reply(token, changes, &reply);
+            }
             StorePurpose::WriteQuotas { token, writes } => {
                 self.handle_quotas_reply(token, &writes, &reply);
             }
--- a/crates/basaltrail-core/src/events.rs
+++ b/crates/basaltrail-core/src/events.rs
@@ -122,6 +122,15 @@
         /// The store's revision at which the leader was read.
         revision: Revision,
     },
+    /// Another controller leads, and none of its progress has arrived for a worker lease.
+    ProgressMissing {
+        /// The name of the leader.
+        leader: String,
+        /// Milliseconds since the last progress of any leader, or since the start of the process.
+        silent_ms: Ms,
+    },
+    /// Progress of a leader arrived after it was missing.
+    ProgressReceived,
     /// Machines and CPU usage, once per round of the fairness ledger.
     FleetUsage(FleetUsage),
 }
--- a/crates/basaltrail-core/src/jobs/job_cache.rs
+++ b/crates/basaltrail-core/src/jobs/job_cache.rs
@@ -1,7 +1,7 @@
 //! The job cache: job records, outcomes and quotas as a controller last read them from the store.
 
 use crate::model::{JobId, JobOutcome, JobSpec, Revision, WallMs};
-use crate::store::records::JobRecord;
+use crate::store::records::{JobRecord, RunStateRecord};
 use basaltrail_admission::{Acceptance, AdmissionQuota, QuotaCache};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -26,6 +26,15 @@
     }
 }
 
+/// The run state of a job as it is stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoredRunState {
+    /// The mod revision of the record.
+    pub mod_revision: Revision,
+    /// True if a task of the job runs.
+    pub is_running: bool,
+}
+
 /// A controller's cache of jobs. Outcomes never change, so users may be answered from cached ones;
 /// everything else must first be confirmed by the store.
 pub struct JobCache {
@@ -35,6 +44,8 @@
     /// The jobs of `outcomes`, oldest first.
     outcome_order: VecDeque<JobId>,
     max_outcomes: usize,
+    /// Stored run states. The leader deletes those of ended jobs.
+    pub run_states: BTreeMap<JobId, StoredRunState>,
     /// Admission quotas, and the acceptances counted against them.
     pub quotas: QuotaCache,
     /// Jobs whose record or outcome changed since the leader last processed this set.
@@ -49,6 +60,7 @@
             outcomes: HashMap::new(),
             outcome_order: VecDeque::new(),
             max_outcomes,
+            run_states: BTreeMap::new(),
             quotas: QuotaCache::default(),
             changed_jobs: BTreeSet::new(),
         }
@@ -77,6 +89,28 @@
         self.changed_jobs.insert(job);
     }
 
+    /// Adds or replaces the run state of a job, unless one of the same or a later revision is
+    /// cached.
+    pub fn put_run_state(&mut self, job: JobId, mod_revision: Revision, record: RunStateRecord) {
+        if self.run_states.get(&job).is_some_and(|cached| cached.mod_revision >= mod_revision) {
+            return;
+        }
+        let run_state = StoredRunState { mod_revision, is_running: record.is_running };
+        self.run_states.insert(job, run_state);
+    }
+
+    /// Removes a run state that was deleted at `mod_revision`, if the cached one is older.
+    pub fn remove_run_state(&mut self, job: JobId, mod_revision: Revision) {
+        if self.run_states.get(&job).is_some_and(|cached| cached.mod_revision < mod_revision) {
+            self.run_states.remove(&job);
+        }
+    }
+
+    /// Returns whether the store says that a task of the job runs.
+    pub fn is_stored_as_running(&self, job: JobId) -> bool {
+        self.run_states.get(&job).is_some_and(|run_state| run_state.is_running)
+    }
+
     /// Adds or replaces a quota. `complete` is true if the quota was read by a watch: a list does
     /// not contain the jobs that were accepted under the quota and have ended since.
     pub fn put_quota(&mut self, quota: AdmissionQuota, mod_revision: Revision, complete: bool) {
--- a/crates/basaltrail-core/src/jobs/mod.rs
+++ b/crates/basaltrail-core/src/jobs/mod.rs
@@ -5,5 +5,5 @@
 mod job_state;
 pub mod watch;
 
-pub use job_cache::{ActiveJob, JobCache};
+pub use job_cache::{ActiveJob, JobCache, StoredRunState};
 pub use job_state::{JobState, TaskPlacement};
--- a/crates/basaltrail-core/src/leader/mod.rs
+++ b/crates/basaltrail-core/src/leader/mod.rs
@@ -21,6 +21,7 @@
 use persistence::machine_registry::MachineRegistry;
 use persistence::writer::Writer;
 use rand::rngs::SmallRng;
+use run_states::RunStateWriter;
 use scheduler::Scheduler;
 
 pub mod autoscaler;
@@ -29,9 +30,11 @@
 mod liveness;
 mod persistence;
 mod quota_allocation;
+mod run_states;
 pub mod scheduler;
 
 pub use persistence::replies::WriteOutcome;
+pub use run_states::{RunStateChange, RunStateWriteOutcome};
 
 /// Inputs to a step of the leader in addition to its own state.
 #[derive(Clone, Copy)]
@@ -85,7 +88,9 @@
     round_ends_at: Ms,
     /// Planning and writing of the controllers' admission quotas.
     pub quota_allocator: quota_allocation::QuotaAllocator,
-    /// Next time at which progress is sent to peers.
+    /// Writing of the jobs' run states.
+    pub run_state_writer: RunStateWriter,
+    /// Next time at which progress is published.
     pub next_progress_at: Ms,
 }
 
@@ -107,6 +112,7 @@
             ledger: Ledger::new(ctx.cfg, None, ctx.now),
             round_ends_at: ctx.now,
             quota_allocator: quota_allocation::QuotaAllocator::new(ctx.now),
+            run_state_writer: RunStateWriter::default(),
             next_progress_at: 0,
         };
         for job in ctx.job_cache.active.keys() {
--- a/crates/basaltrail-core/src/settings.rs
+++ b/crates/basaltrail-core/src/settings.rs
@@ -138,6 +138,9 @@
 const WRITES_PER_JOB: f64 = 4.0;
 /// Fraction of the store's write rate that the leader may use for job outcomes.
 const OUTCOME_WRITE_FRACTION: f64 = 0.4;
+/// Time by which the status of a job in an answer may lag, in milliseconds (PROTOCOL, "GET
+/// /api/jobs/{id}").
+const MAX_STATUS_LAG_MS: Ms = 3_000;
 /// The shortest and the longest lease that the store grants, in milliseconds (PROTOCOL, "POST
 /// /grants").
 const LEADER_LEASE_RANGE_MS: (Ms, Ms) = (100, 600_000);
@@ -231,6 +234,17 @@
         (self.max_cancellation_ms / 6).min(self.max_job_cache_age_ms() / 3)
     }
 
+    /// Returns the interval at which a leader publishes the progress of the jobs, in milliseconds.
+    pub fn progress_interval_ms(&self) -> Ms {
+        self.heartbeat_interval_ms.min(MAX_STATUS_LAG_MS / 3)
+    }
+
+    /// Returns the age above which progress does not show any more that tasks run, in milliseconds.
+    /// Leaders of earlier versions send it once per heartbeat interval.
+    pub fn max_progress_age_ms(&self) -> Ms {
+        MAX_STATUS_LAG_MS.max(self.heartbeat_interval_ms * 3 / 2)
+    }
+
     /// Returns the maximum number of active jobs that the memory of a controller allows.
     pub fn max_active_jobs(&self) -> usize {
         (self.memory_mb * ACTIVE_JOBS_PER_MB).max(MIN_ACTIVE_JOBS) as usize
--- a/crates/basaltrail-core/src/store/calls.rs
+++ b/crates/basaltrail-core/src/store/calls.rs
@@ -6,10 +6,11 @@
 use crate::events::LogEvent;
 use crate::io::{CloudRequest, Effect, StoreRequest};
 use crate::jobs::watch::WatchKind;
+use crate::leader::RunStateChange;
 use crate::model::{CallId, FencingToken, JobId, MachineId, Ms, RequestId};
 use crate::store::pending_transaction::PendingTransaction;
 use crate::store::rate_limiter::{CallPriority, TokenBucket};
-use crate::store::records::{ACTIVE_JOBS_PREFIX, ADMISSION_PREFIX};
+use crate::store::records::{ACTIVE_JOBS_PREFIX, ADMISSION_PREFIX, RUN_STATES_PREFIX};
 use basaltrail_admission::QuotaWrite;
 use std::collections::HashMap;
 
@@ -19,6 +20,8 @@
 pub enum ListRange {
     /// Active jobs.
     Jobs,
+    /// Run states of jobs.
+    RunStates,
     /// Admission quotas and the controller records.
     Admission,
 }
@@ -28,9 +31,20 @@
     pub fn prefix(self) -> &'static str {
         match self {
             ListRange::Jobs => ACTIVE_JOBS_PREFIX,
+            ListRange::RunStates => RUN_STATES_PREFIX,
             ListRange::Admission => ADMISSION_PREFIX,
         }
     }
+
+    /// Returns the range that is listed after this one; `None` after the last. The admission
+    /// records are listed only if quotas are enforced.
+    pub fn next(self, quotas_enforced: bool) -> Option<ListRange> {
+        match self {
+            ListRange::Jobs => Some(ListRange::RunStates),
+            ListRange::RunStates => quotas_enforced.then_some(ListRange::Admission),
+            ListRange::Admission => None,
+        }
+    }
 }
 
 /// The purpose of a call to the store. If it has a fencing token, the reply is applied only by the
@@ -104,6 +118,13 @@
     },
     /// Writes the controller record of this process.
     WriteControllerRecord,
+    /// Writes run states of jobs.
+    WriteRunStates {
+        /// The fencing token of the term.
+        token: FencingToken,
+        /// The changes.
+        changes: Vec<RunStateChange>,
+    },
     /// Writes admission quotas.
     WriteQuotas {
         /// The fencing token of the term.
--- a/crates/basaltrail-core/src/store/records.rs
+++ b/crates/basaltrail-core/src/store/records.rs
@@ -21,6 +21,9 @@
 pub const ACTIVE_JOBS_PREFIX: &str = "j/a/";
 /// The prefix of the [`crate::model::JobOutcome`]s, one per ended job.
 pub const OUTCOMES_PREFIX: &str = "j/t/";
+/// The prefix of the [`RunStateRecord`]s, one per job that has started. It lies under the prefix of
+/// the jobs, so that one watch returns the changes of both.
+pub const RUN_STATES_PREFIX: &str = "j/r/";
 /// The prefix of admission quotas and controller records. It lies under the prefix of the jobs, so
 /// that one watch returns their changes and those of jobs in the order of revisions.
 pub const ADMISSION_PREFIX: &str = "j/q/";
@@ -97,6 +100,15 @@
     }
 }
 
+/// Whether tasks of an active job run, as the leader last knew. Versions that do not know the record
+/// ignore it; the leader deletes it after the end of the job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunStateRecord {
+    /// True if at least one task runs.
+    #[serde(rename = "r")]
+    pub is_running: bool,
+}
+
 /// An entry of the machine registry: a machine, and whether it holds no tasks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MachineRecord {
@@ -140,6 +152,11 @@
     format!("{OUTCOMES_PREFIX}{job}")
 }
 
+/// Returns the key of the [`RunStateRecord`] of a job.
+pub fn run_state_key(job: JobId) -> String {
+    format!("{RUN_STATES_PREFIX}{job}")
+}
+
 /// Returns the key of the [`ControllerRecord`] of a controller.
 pub fn controller_key(controller: &str) -> String {
     format!("{CONTROLLERS_PREFIX}{}", key_part(controller))
--- a/crates/basaltrail-core/tests/simulation/simulated/controllers.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/controllers.rs
@@ -138,6 +138,9 @@
 
     /// Sends a leader's progress to the peers that no partition separates from it.
     fn send_to_peers(&mut self, from: usize, at: u64, progress: &[Progress]) {
+        if at < self.peers_refuse_until {
+            return;
+        }
         let is_cut_off = |controller: &SimulatedController| {
             controller.isolated_until > at || controller.store_partition.is_some()
         };
--- a/crates/basaltrail-core/tests/simulation/simulated/limits.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/limits.rs
@@ -65,6 +65,20 @@
     }
 }
 
+/// Limits of the first two teams in each round of the changes of settings. The lowest is the one of
+/// the first team in the last round.
+const LOWERED_LIMITS: [[f64; 2]; 3] = [[12.0, 30.0], [24.0, 16.0], [8.0, 40.0]];
+
+impl Simulation {
+    /// Reduces the services to as many replicas as fit into `max_cpus`. A controller rightly refuses
+    /// a service with more (PROTOCOL: 422, the job needs more than the team's limit).
+    fn fit_services_into(&mut self, max_cpus: f64) {
+        for user in self.users.iter_mut().filter(|user| user.spec.is_service()) {
+            user.spec.tasks = user.spec.tasks.min((max_cpus / user.spec.cpus) as u32);
+        }
+    }
+}
+
 /// During a rolling change of settings, controllers differ in a limit, and leadership moves
 /// between them under faults. The use stays within the highest configured limit.
 #[test]
@@ -72,8 +86,9 @@
     for seed in 0..8 {
         let mut sim = Simulation::new(seed);
         sim.replace_unsupported_services();
+        sim.fit_services_into(LOWERED_LIMITS[2][0]);
         sim.run_until(20_000);
-        for (round, limits) in [[12.0, 30.0], [24.0, 16.0], [8.0, 40.0]].into_iter().enumerate() {
+        for (round, limits) in LOWERED_LIMITS.into_iter().enumerate() {
             for controller in 0..CONTROLLERS {
                 let next = &mut sim.controllers[controller].next_configuration;
                 (next.max_cpus[0], next.max_cpus[1]) = (limits[0], limits[1]);
--- a/crates/basaltrail-core/tests/simulation/simulated/mod.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/mod.rs
@@ -7,6 +7,7 @@
 mod concurrent_faults;
 mod controllers;
 mod faults;
+mod job_status;
 mod limits;
 mod quotas;
 mod seeded_runs;
@@ -196,6 +197,15 @@
     first_task_started_at: Option<u64>,
     /// Time since which a task of the job waits although it could run.
     unscheduled_since: Option<u64>,
+    /// Whether a task of the job runs, and since when; kept only if statuses are checked.
+    run_state: RunState,
+}
+
+/// Whether any task of a job runs, and the time of the last change.
+#[derive(Clone, Copy, Default)]
+struct RunState {
+    is_running: bool,
+    since: u64,
 }
 
 enum Message {
@@ -223,6 +233,8 @@
 
 #[derive(Clone, Copy)]
 struct PendingRequest {
+    /// Time at which the request was sent.
+    sent_at: u64,
     /// An answer that arrives later is dropped.
     deadline: u64,
     /// The job status that the user knew when it sent the request.
@@ -322,6 +334,10 @@
     zone_partition: Option<(u64, bool)>,
     /// Zone in which new machines boot late or never, and the end of this fault.
     slow_provisioning: (usize, u64),
+    /// Time until which controllers refuse each other's connections.
+    peers_refuse_until: u64,
+    /// Whether the statuses queued and running in answers are checked.
+    checks_status: bool,
     /// Time until which users poll many times as often.
     poll_storm_until: u64,
     /// Time at which the current leader freezes; used to freeze the successor of a frozen leader.
--- a/crates/basaltrail-core/tests/simulation/simulated/quotas.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/quotas.rs
@@ -92,7 +92,7 @@
         self.users.iter().filter(accepted).count()
     }
 
-    fn assert_no_violations(&mut self, seed: u64) {
+    pub(super) fn assert_no_violations(&mut self, seed: u64) {
         self.violations.truncate(5);
         assert!(self.violations.is_empty(), "seed {seed}: {:#?}", self.violations);
     }
--- a/crates/basaltrail-core/tests/simulation/simulated/simulation.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/simulation.rs
@@ -18,6 +18,7 @@
             last_answered_at: 0,
             first_task_started_at: None,
             unscheduled_since: None,
+            run_state: RunState::default(),
         }
     }
 }
@@ -148,6 +149,8 @@
             last_request_id: 0,
             zone_partition: None,
             slow_provisioning: (0, 0),
+            peers_refuse_until: 0,
+            checks_status: false,
             poll_storm_until: 0,
             next_leader_freeze: u64::MAX,
             unanswered_writes: UnansweredWrites::default(),
@@ -286,6 +289,7 @@
             }
             self.answer_watches();
             self.step_workers();
+            self.update_run_states();
             self.check_cancelled_jobs_stopped();
             self.record_leader_change();
             if self.now.is_multiple_of(1_000) {
--- a/crates/basaltrail-core/tests/simulation/simulated/users.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/users.rs
@@ -49,7 +49,7 @@
     }
 
     /// Sends a user's request to a controller after `delay_ms`.
-    fn send_request(
+    pub(super) fn send_request(
         &mut self,
         i: usize,
         controller: usize,
@@ -67,7 +67,7 @@
             (self.users[i].observed, now + delay_ms + kind.timeout_ms());
         let request_id = self.register_request(Requester::User(
             i,
-            PendingRequest { deadline, observed_before, exclusive },
+            PendingRequest { sent_at: now + delay_ms, deadline, observed_before, exclusive },
         ));
         let user = &mut self.users[i];
         user.cancel_requested |= kind == RequestKind::Cancel;
@@ -96,8 +96,11 @@
                 self.send_request(i, controller, kind, delay_ms, false);
             }
         }
-        if self.users[i].observed == Observed::Accepted && self.rng.random_bool(0.1) {
-            self.record_situation("cancelled right after acceptance");
+        // The first accepted job is cancelled in any case, so that the situation certainly occurs.
+        const SITUATION: &str = "cancelled right after acceptance";
+        let cancels = self.rng.random_bool(0.1) || !self.situations.contains_key(SITUATION);
+        if self.users[i].observed == Observed::Accepted && cancels {
+            self.record_situation(SITUATION);
             self.cancel_job(i);
         }
     }
@@ -150,10 +153,14 @@
             user.last_answered_at = now;
         }
         let before = user.observed;
+        let stale_status = user.check_status_age(request, &answer).filter(|_| self.checks_status);
         let checked = user.check_answer(request, &answer, now);
         let observed = user.observed;
+        let job = user.job;
+        if let Some(violation) = stale_status {
+            self.record_violation(format!("{violation}: {job}"));
+        }
         if let Err(rule) = checked {
-            let job = user.job;
             self.record_violation(format!("{rule}: {job}"));
         }
         if !request.exclusive && known && request.observed_before != Observed::Unknown {
@@ -268,7 +275,7 @@
 }
 
 #[derive(Clone, Copy, PartialEq)]
-enum RequestKind {
+pub(super) enum RequestKind {
     Submit,
     Poll,
     Cancel,
--- a/crates/basaltrail/src/logging.rs
+++ b/crates/basaltrail/src/logging.rs
@@ -80,6 +80,10 @@
             let leader = leader.as_deref().unwrap_or("none");
             info!(event = %"leader_seen", leader = %leader, term = term.0, revision = revision.0);
         }
+        LeadershipEvent::ProgressMissing { leader, silent_ms } => {
+            info!(event = %"progress_missing", leader = %leader, silent_ms);
+        }
+        LeadershipEvent::ProgressReceived => info!(event = %"progress_received"),
         LeadershipEvent::FleetUsage(usage) => write_fleet_usage(usage),
     }
 }
