Read run states again after a conflict; traces and tests of run states

Need: a cached run state that is not the stored one would make the leader's writes conflict again and again, and with them the run states of all other jobs in the transaction. Nothing in the tests showed what a single controller does with run states.

Change: the records whose precondition failed are read again. Three traces (a follower without progress, the leader's writes, a new leader that loads or has not heard from a machine), unit tests of late watch events, lists, conflicts, rejected transactions and the log events, and the stored bytes.

--- a/crates/basaltrail-core/src/controller/progress.rs
+++ b/crates/basaltrail-core/src/controller/progress.rs
@@ -3,9 +3,13 @@
 
 use super::Controller;
 use crate::events::LeadershipEvent;
-use crate::io::{Effect, Progress, StoreReply};
+use crate::io::{Effect, Progress, StoreReply, StoreRequest};
+use crate::jobs::StoredRunState;
 use crate::leader::{RunStateChange, RunStateWriteOutcome};
-use crate::model::FencingToken;
+use crate::model::{FencingToken, JobId};
+use crate::store::calls::StorePurpose;
+use crate::store::rate_limiter::CallPriority;
+use crate::store::records::run_state_key;
 
 impl Controller {
     /// Applies progress that a peer sent.
@@ -56,10 +60,47 @@
                 }
             }
             Some(RunStateWriteOutcome::Deposed) => self.election.step_down(self.now),
+            Some(RunStateWriteOutcome::Conflict(keys)) => {
+                let jobs = changes.iter().map(|change| change.job);
+                let failed = jobs.filter(|job| keys.contains(&run_state_key(*job)));
+                failed.for_each(|job| self.read_run_state(job));
+            }
             Some(RunStateWriteOutcome::Failed) | None => {}
         }
     }
 
+    /// Reads the run state of a job, unless the rate limit does not allow it; the next conflict then
+    /// tries again.
+    fn read_run_state(&mut self, job: JobId) {
+        if self.calls.try_acquire(self.now, CallPriority::Completion) {
+            let cached = self.job_cache.run_states.get(&job).copied();
+            let request = StoreRequest::Get(run_state_key(job));
+            let timeout_ms = self.request_timeout_ms();
+            self.calls.send_to_store(
+                StorePurpose::ReadRunState { job, cached },
+                request,
+                timeout_ms,
+            );
+        }
+    }
+
+    /// Handles the reply to a read of a run state, of which `cached` was known at the time of the
+    /// read.
+    pub(super) fn handle_run_state_reply(
+        &mut self,
+        job: JobId,
+        cached: Option<StoredRunState>,
+        reply: &StoreReply,
+    ) {
+        match reply {
+            StoreReply::KeyValue(item) => self.apply_unordered(item),
+            StoreReply::NotFound if self.job_cache.run_states.get(&job).copied() == cached => {
+                self.job_cache.run_states.remove(&job);
+            }
+            _ => {}
+        }
+    }
+
     /// Logs once that another controller leads and its progress does not arrive. Users are then
     /// answered from the stored run states alone.
     pub(super) fn log_missing_progress(&mut self) {
@@ -76,3 +117,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "progress_tests.rs"]
+mod tests;
--- a/crates/basaltrail-core/src/controller/store_replies.rs
+++ b/crates/basaltrail-core/src/controller/store_replies.rs
@@ -61,6 +61,9 @@
             StorePurpose::WriteRunStates { token, changes } => {
                 self.handle_run_states_reply(token, changes, &reply);
             }
+            StorePurpose::ReadRunState { job, cached } => {
+                self.handle_run_state_reply(job, cached, &reply);
+            }
             StorePurpose::WriteQuotas { token, writes } => {
                 self.handle_quotas_reply(token, &writes, &reply);
             }
--- a/crates/basaltrail-core/src/leader/run_states.rs
+++ b/crates/basaltrail-core/src/leader/run_states.rs
@@ -28,12 +28,14 @@
 }
 
 /// The result of a transaction with run states.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunStateWriteOutcome {
     /// The changes were made at this revision.
     Committed(Revision),
     /// Another controller leads.
     Deposed,
+    /// The records of these keys are not the cached ones and must be read.
+    Conflict(Vec<String>),
     /// The changes were not made, or it is not known whether they were.
     Failed,
 }
@@ -54,7 +56,7 @@
 
 impl RunStateWriter {
     /// Handles the reply to a transaction with `changes` changes. Failed changes are determined
-    /// again from the records that the watch of the jobs returns.
+    /// again from the records that the watch of the jobs returns, or that are read after a conflict.
     pub fn handle_reply(&mut self, changes: usize, reply: &StoreReply) -> RunStateWriteOutcome {
         self.in_flight = false;
         match reply {
@@ -65,6 +67,7 @@
             StoreReply::Conflict { failed } if failed.iter().any(|key| key == LEADER_KEY) => {
                 RunStateWriteOutcome::Deposed
             }
+            StoreReply::Conflict { failed } => RunStateWriteOutcome::Conflict(failed.clone()),
             StoreReply::Invalid => {
                 self.max_changes = (changes / 2).max(1);
                 RunStateWriteOutcome::Failed
@@ -160,3 +163,7 @@
     }
     StoreRequest::Transaction { preconditions, puts, deletes }
 }
+
+#[cfg(test)]
+#[path = "run_states_tests.rs"]
+mod tests;
--- a/crates/basaltrail-core/src/store/calls.rs
+++ b/crates/basaltrail-core/src/store/calls.rs
@@ -6,6 +6,7 @@
 use crate::events::LogEvent;
 use crate::io::{CloudRequest, Effect, StoreRequest};
 use crate::jobs::watch::WatchKind;
+use crate::jobs::StoredRunState;
 use crate::leader::RunStateChange;
 use crate::model::{CallId, FencingToken, JobId, MachineId, Ms, RequestId};
 use crate::store::pending_transaction::PendingTransaction;
@@ -125,6 +126,13 @@
         /// The changes.
         changes: Vec<RunStateChange>,
     },
+    /// Reads the run state of a job after a write found another one than the cached one.
+    ReadRunState {
+        /// The job.
+        job: JobId,
+        /// The run state that was cached when the read was sent.
+        cached: Option<StoredRunState>,
+    },
     /// Writes admission quotas.
     WriteQuotas {
         /// The fencing token of the term.
--- a/crates/basaltrail-core/tests/records.rs
+++ b/crates/basaltrail-core/tests/records.rs
@@ -40,6 +40,7 @@
     assert_eq!(round_trip::<LedgerRecord>(LEDGER_VALUE).crash_looping_jobs, [JobId(412)]);
     assert!(round_trip::<LedgerRecord>(LEDGER_WITHOUT_CRASH_LOOPS).crash_looping_jobs.is_empty());
     round_trip::<LeaderRecord>(LEADER_VALUE);
+    assert!(round_trip::<RunStateRecord>(r#"{"r":true}"#).is_running);
     round_trip::<Vec<MachineType>>(TYPES_VALUE);
     assert_eq!(round_trip::<FencingToken>("41"), FencingToken(41));
     assert_eq!(round_trip::<Option<String>>(r#""valley-room""#).as_deref(), Some("valley-room"));
@@ -57,6 +58,8 @@
     let (job, large) = (JobId(412), JobId(1_234_567));
     assert_eq!([active_job_key(job), active_job_key(large)], ["j/a/000412", "j/a/1234567"]);
     assert_eq!([outcome_key(job), completions_key(job, 3)], ["j/t/000412", "d/000412/3"]);
+    // Earlier versions have no run states, and ignore their keys.
+    assert_eq!([run_state_key(job).as_str(), RUN_STATES_PREFIX], ["j/r/000412", "j/r/"]);
     assert_eq!([machine_registry_key(0), machine_registry_key(17)], ["r/0", "r/17"]);
     assert_eq!([LEADER_KEY, TERM_KEY, PRIMARY_ZONE_KEY], ["c/leader", "c/term", "c/home"]);
     assert_eq!([LEDGER_KEY, MACHINE_TYPES_KEY], ["l/ledger", "m/types"]);
--- a/crates/basaltrail-core/tests/trace_player/script.rs
+++ b/crates/basaltrail-core/tests/trace_player/script.rs
@@ -1,6 +1,6 @@
 //! Interprets the lines of a trace, which `tests/traces/README` describes.
 
-use super::store::{Availability, HeldKind, HeldReply};
+use super::store::{Availability, HeldKind, HeldReply, TraceStore};
 use super::{spec, TracePlayer};
 use basaltrail_core::*;
 
@@ -16,6 +16,23 @@
             "wait" => self.run_for(words[1].parse().unwrap()),
             "store" => self.store.availability = availability(words[1]),
             "reject" => self.store.rejected_key = Some(words[1].into()),
+            "progress" => {
+                let job = job(words[1]);
+                let running = words[2].parse().unwrap();
+                self.feed(Input::PeerProgress {
+                    progress: vec![Progress { job, done: 0, running }],
+                });
+            }
+            "runs" => {
+                let key = records::run_state_key(job(words[1]));
+                let stored: Option<records::RunStateRecord> =
+                    self.store.value(&key).and_then(records::decode);
+                let state = match stored {
+                    Some(stored) => stored.is_running.to_string(),
+                    None => "none".into(),
+                };
+                assert_eq!(state, words[2], "run state of {}", words[1]);
+            }
             "rejected" => {
                 let max = words[1].parse().unwrap();
                 let rejected = self.store.rejected_transactions;
@@ -113,6 +130,8 @@
                     None,
                 );
             }
+            "runs" => put_run_state(store, words[1], true),
+            "idles" => put_run_state(store, words[1], false),
             "cancels" => {
                 store.delete(&records::active_job_key(job(words[1])));
                 store.put(&records::outcome_key(job(words[1])), "\"c\"", None);
@@ -165,6 +184,11 @@
     }
 }
 
+fn put_run_state(store: &mut TraceStore, job_word: &str, is_running: bool) {
+    let record = records::RunStateRecord { is_running };
+    store.put(&records::run_state_key(job(job_word)), &records::encode(&record), None);
+}
+
 fn job(word: &str) -> JobId {
     JobId(word.parse().unwrap())
 }
--- a/crates/basaltrail-core/tests/trace_player/store.rs
+++ b/crates/basaltrail-core/tests/trace_player/store.rs
@@ -154,6 +154,11 @@
         released
     }
 
+    /// Returns the value of a key.
+    pub fn value(&self, key: &str) -> Option<&str> {
+        self.keys.get(key).map(|stored| stored.value.as_str())
+    }
+
     /// Returns the controller that holds the leader key and its token, as they are written in
     /// traces.
     pub fn leader(&self) -> Option<String> {
--- a/crates/basaltrail-core/tests/traces.rs
+++ b/crates/basaltrail-core/tests/traces.rs
@@ -17,6 +17,9 @@
 }
 
 traces! {
+    follower_tells_which_jobs_run_without_progress
+    leader_stores_which_jobs_run
+    new_leader_keeps_jobs_running_until_it_knows
     failover_waits_for_every_machine
     failover_does_not_wait_for_empty_machines
     failover_does_not_wait_for_machines_a_job_may_not_use
