Do not let run states delay the changes of jobs in the watch

Cause: after each answered watch of the jobs, a controller waits a tenth of a heartbeat interval before the next one, so that one watch returns several changes.

Change: after events that are run states alone, the next watch is sent at once; they come at an interval of their own.

--- a/crates/basaltrail-core/src/controller/job_watching.rs
+++ b/crates/basaltrail-core/src/controller/job_watching.rs
@@ -81,13 +81,19 @@
 
     /// Handles the reply to a watch of the jobs.
     pub(super) fn handle_watch_reply(&mut self, kind: WatchKind, sent_at: Ms, reply: StoreReply) {
-        // Changes come in bursts. A delay lets one watch return several, since a watch for each
-        // costs too much.
-        let next_watch_at = self.now + self.cfg.heartbeat_interval_ms / 10;
+        let burst_ms = self.cfg.heartbeat_interval_ms / 10;
         let retry_at = self.now + self.cfg.heartbeat_interval_ms / 4;
         match reply {
             StoreReply::Events { revision, events } => {
-                self.job_watch.record_answer(kind, next_watch_at);
+                // Changes of jobs come in bursts. A delay lets one watch return several, since a
+                // watch for each costs too much. Run states come at an interval, and must not delay
+                // the changes of jobs.
+                let is_run_state = |event: &WatchEvent| event.key().starts_with(RUN_STATES_PREFIX);
+                let delay_ms = match !events.is_empty() && events.iter().all(is_run_state) {
+                    true => 0,
+                    false => burst_ms,
+                };
+                self.job_watch.record_answer(kind, self.now + delay_ms);
                 for event in &events {
                     self.apply_event(event);
                 }
@@ -102,7 +108,7 @@
                 }
             }
             StoreReply::Compacted => {
-                self.job_watch.record_answer(kind, next_watch_at);
+                self.job_watch.record_answer(kind, self.now + burst_ms);
                 self.job_watch.restart_list();
             }
             _ => self.job_watch.record_answer(kind, retry_at),
--- a/crates/basaltrail-core/src/controller/progress_tests.rs
+++ b/crates/basaltrail-core/src/controller/progress_tests.rs
@@ -50,6 +50,22 @@
     assert!(controller.job_cache.is_stored_as_running(JOB));
 }
 
+/// Guards against run states that delay the changes of jobs: after other changes, the next watch is
+/// sent with a delay.
+#[test]
+fn run_states_do_not_delay_the_next_watch() {
+    let mut controller = controller();
+    let run_state = WatchEvent::Put(record(10, true));
+    let mut is_watch_due_after = |events| {
+        let reply = StoreReply::Events { revision: Revision(12), events };
+        controller.handle_watch_reply(WatchKind::Waiting, 0, reply);
+        controller.job_watch.call_due(controller.now).is_some()
+    };
+    assert!(is_watch_due_after(vec![run_state.clone()]));
+    let outcome = WatchEvent::Delete { key: "j/a/000005".into(), mod_revision: Revision(11) };
+    assert!(!is_watch_due_after(vec![run_state, outcome]));
+}
+
 /// A run state that is listed no longer was deleted while the changes were not watched.
 #[test]
 fn run_states_that_are_not_listed_are_removed() {
--- a/crates/basaltrail-core/src/io.rs
+++ b/crates/basaltrail-core/src/io.rs
@@ -36,6 +36,16 @@
     },
 }
 
+impl WatchEvent {
+    /// Returns the key that was changed.
+    pub fn key(&self) -> &str {
+        match self {
+            WatchEvent::Put(item) => &item.key,
+            WatchEvent::Delete { key, .. } => key,
+        }
+    }
+}
+
 /// A put in a transaction.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PutRequest {
