Show that late copies of messages start no task again

What was found: it cannot happen here. Controllers send no direct commands; starts go out in answers to heartbeats alone, which a worker drops when they are late (PROTOCOL, Delayed messages). What can be repeated is the heartbeat, and its copy gets no start: in the same term it is not newer than the original, in a later term it does not carry the token. Each start has an attempt number of its own, made of the token and a counter, and is sent once.

Every simulated run now checks that the start of an attempt is sent once, whichever controllers lead.

`old_heartbeats_reach_a_new_leader` needs a job to be cancelled while its machines are unreachable, which was left to chance and is now certain.

--- a/crates/basaltrail-core/tests/simulation/simulated/checks.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/checks.rs
@@ -59,6 +59,22 @@
         }
     }
 
+    /// Checks that the start of an attempt is sent once, whichever copies of heartbeats are answered
+    /// and whichever controllers lead: a worker that has forgotten an attempt would start it again.
+    pub(super) fn check_starts_sent(&mut self, controller: usize, answer: &Answer) {
+        let Answer::Commands { commands, .. } = answer else { return };
+        if self.controllers[controller].version != Version::default() {
+            return;
+        }
+        for command in commands {
+            let TaskCommand::Start { task, attempt } = command else { continue };
+            if !self.starts_sent.insert((*task, *attempt)) {
+                let violation = format!("controller {controller} repeats a start: {task:?}");
+                self.record_violation(violation);
+            }
+        }
+    }
+
     /// Returns the highest limit of a team among the present configurations and those replaced so
     /// recently that a task started under them may still begin.
     fn limit_in_force(&self, team: usize) -> f64 {
@@ -81,11 +97,7 @@
         for user in &self.users {
             if let Observed::Cancelled(at) = user.observed {
                 for (machine, worker) in self.workers.iter().enumerate() {
-                    let runs_here = worker
-                        .tasks
-                        .iter()
-                        .any(|(key, task)| key.0.job == user.job && Self::is_running(task));
-                    if runs_here && self.now > at + CANCEL_MS {
+                    if worker.runs_job(user.job) && self.now > at + CANCEL_MS {
                         violations.push((at, format!("ran_cancelled: {} on {machine}", user.job)));
                     }
                 }
--- a/crates/basaltrail-core/tests/simulation/simulated/concurrent_faults/mod.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/concurrent_faults/mod.rs
@@ -101,13 +101,8 @@
     /// Returns whether a task is running although its user has received the status cancelled.
     pub(super) fn runs_cancelled_job(&self) -> bool {
         self.users.iter().any(|user| {
-            let runs = |worker: &Worker| {
-                worker
-                    .tasks
-                    .iter()
-                    .any(|(key, task)| key.0.job == user.job && Self::is_running(task))
-            };
-            matches!(user.observed, Observed::Cancelled(_)) && self.workers.iter().any(runs)
+            matches!(user.observed, Observed::Cancelled(_))
+                && self.workers.iter().any(|worker| worker.runs_job(user.job))
         })
     }
 }
--- a/crates/basaltrail-core/tests/simulation/simulated/concurrent_faults/workers.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/concurrent_faults/workers.rs
@@ -27,7 +27,13 @@
         sim.run_for(60_000);
         let (old_leader, uplink_lost_until) = (sim.await_leader(), sim.now + LEASE_MS * 3 / 2);
         // The successor gets only held heartbeats of some workers, since their uplinks are lost.
+        // The machines of a job that is cancelled are among them in any case.
         sim.for_share_of_workers(0.4, |worker| worker.uplink_lost_until = uplink_lost_until);
+        let cancelled = sim.cancellable_job().expect("a job runs");
+        sim.workers
+            .iter_mut()
+            .filter(|worker| worker.runs_job(cancelled))
+            .for_each(|worker| worker.uplink_lost_until = uplink_lost_until);
         sim.cancel_running_jobs(6, 0);
         sim.run_for(300);
         sim.stop_controller(old_leader, 3_000);
--- a/crates/basaltrail-core/tests/simulation/simulated/controllers.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/controllers.rs
@@ -41,7 +41,10 @@
 
     fn apply_effect(&mut self, step: Step, effect: Effect) {
         match effect {
-            Effect::Answer { request_id, answer } => self.send_answer(step, request_id, answer),
+            Effect::Answer { request_id, answer } => {
+                self.check_starts_sent(step.controller, &answer);
+                self.send_answer(step, request_id, answer);
+            }
             Effect::Store { call_id, request, timeout_ms } => {
                 self.send_store_request(step, call_id, request, timeout_ms);
             }
--- a/crates/basaltrail-core/tests/simulation/simulated/faults.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/faults.rs
@@ -150,30 +150,33 @@
         self.extend_faults(duration_ms);
     }
 
+    /// Returns whether a job runs, is known to be accepted and will not be cancelled by its user.
+    fn is_cancellable(&self, user: &User) -> bool {
+        user.observed == Observed::Accepted
+            && user.cancel_at.is_none()
+            && self.workers.iter().any(|worker| worker.runs_job(user.job))
+    }
+
+    /// Returns the first job that [`Simulation::cancel_running_jobs`] would cancel.
+    pub(super) fn cancellable_job(&self) -> Option<JobId> {
+        self.users.iter().find(|user| self.is_cancellable(user)).map(|user| user.job)
+    }
+
     /// Cancels up to `max_jobs` running jobs. If `hang_ms` is positive, up to eight of their
     /// machines hang.
     pub(super) fn cancel_running_jobs(&mut self, max_jobs: usize, hang_ms: u64) {
         let now = self.now;
-        let runs_job = |worker: &Worker, job| {
-            worker.tasks.iter().any(|(key, task)| key.0.job == job && Self::is_running(task))
-        };
         let mut hung = 0;
         let mut cancelled = 0;
         for i in 0..self.users.len() {
-            let user = &self.users[i];
-            let job = user.job;
-            let is_running = self.workers.iter().any(|worker| runs_job(worker, job));
-            if cancelled >= max_jobs
-                || !is_running
-                || user.observed != Observed::Accepted
-                || user.cancel_at.is_some()
-            {
+            if cancelled >= max_jobs || !self.is_cancellable(&self.users[i]) {
                 continue;
             }
+            let job = self.users[i].job;
             cancelled += 1;
             self.cancel_job(i);
             for worker in
-                self.workers.iter_mut().filter(|worker| hang_ms > 0 && runs_job(worker, job))
+                self.workers.iter_mut().filter(|worker| hang_ms > 0 && worker.runs_job(job))
             {
                 if hung < 8 && now >= worker.hung_until {
                     worker.hung_until = now + 150 + hang_ms;
--- a/crates/basaltrail-core/tests/simulation/simulated/mod.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/mod.rs
@@ -370,6 +370,8 @@
     /// Whether `check_all_jobs_answered` has run.
     answers_checked: bool,
     violations: Vec<String>,
+    /// Attempts whose start a controller of the current version has sent.
+    starts_sent: BTreeSet<(TaskId, Attempt)>,
     tasks_started: u64,
     /// Commands to stop a task of a job that is still active.
     tasks_stopped: u64,
--- a/crates/basaltrail-core/tests/simulation/simulated/simulation.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/simulation.rs
@@ -171,6 +171,7 @@
             concurrent_faults: 0,
             answers_checked: false,
             violations: Vec::new(),
+            starts_sent: BTreeSet::new(),
             tasks_started: 0,
             tasks_stopped: 0,
             faults_over_at: FAULTS_END_MS,
--- a/crates/basaltrail-core/tests/simulation/simulated/users.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/users.rs
@@ -180,13 +180,10 @@
     /// Records the situations in which a cancellation was confirmed.
     fn record_cancellation(&mut self, i: usize) {
         let job = self.users[i].job;
-        let runs_task = |worker: &&Worker| {
-            worker.tasks.iter().any(|(key, task)| key.0.job == job && Self::is_running(task))
-        };
         let now = self.now;
         let mut is_running = false;
         let mut unreachable = false;
-        for worker in self.workers.iter().filter(runs_task) {
+        for worker in self.workers.iter().filter(|worker| worker.runs_job(job)) {
             is_running = true;
             unreachable |= now < worker.hung_until
                 || now < worker.downlink_lost_until
--- a/crates/basaltrail-core/tests/simulation/simulated/workers.rs
+++ b/crates/basaltrail-core/tests/simulation/simulated/workers.rs
@@ -14,6 +14,11 @@
 const MAX_HELD_HEARTBEATS: usize = 4_000;
 
 impl Worker {
+    /// Returns whether a task of the job runs on the machine.
+    pub(super) fn runs_job(&self, job: JobId) -> bool {
+        self.tasks.iter().any(|(key, task)| key.0.job == job && Simulation::is_running(task))
+    }
+
     pub(super) fn terminate(&mut self, now: u64) {
         self.alive = false;
         self.tasks.clear();
