Followers read the stored machine types again

What callers would see: 422, which users do not repeat, for a job that fits a machine type which the cloud offers since the controller read the types.

Cause: a controller that does not lead read the types once after its start and never again; only a leader requests them from the cloud again. Besides, a leader whose write of the types met a conflict never wrote them again.

Change: a follower reads the stored types at the interval at which the leader requests them, six worker leases, and takes them over; if none are stored, it requests them from the cloud. After a conflict, a leader writes its types again if the stored ones differ in a field that matters for submissions.

--- a/crates/basaltrail-core/src/controller/machine_types.rs
+++ b/crates/basaltrail-core/src/controller/machine_types.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns the interval at which the machine types are requested or read again, in milliseconds.
+    fn refresh_interval_ms(&self) -> Ms {
+        self.cfg.worker_lease_ms * 6
+    }
+
     fn write_machine_types(&mut self, value: String, mod_revision: Revision, timeout_ms: Ms) {
         let request = StoreRequest::Transaction {
             preconditions: vec![Precondition::new(MACHINE_TYPES_KEY, mod_revision)],
@@ -56,13 +61,15 @@
 
     /// Handles the store's reply to the read of the machine types.
     pub(super) fn handle_stored_machine_types(&mut self, reply: StoreReply) {
-        self.machine_types.apply_read_reply(reply, self.now + self.cfg.heartbeat_interval_ms / 4);
+        let retry_at = self.now + self.cfg.heartbeat_interval_ms / 4;
+        let refresh_at = self.now + self.refresh_interval_ms();
+        self.machine_types.apply_read_reply(reply, self.leader.is_some(), retry_at, refresh_at);
     }
 
     /// Handles the cloud's reply to the request for machine types.
     pub(super) fn handle_cloud_machine_types(&mut self, reply: CloudReply) {
         let retry_at = self.now + self.cfg.worker_lease_ms / 8;
-        let refresh_at = self.now + self.cfg.worker_lease_ms * 6;
+        let refresh_at = self.now + self.refresh_interval_ms();
         self.machine_types.apply_cloud_reply(reply, retry_at, refresh_at);
     }
 }
--- a/crates/basaltrail-core/src/machines/types.rs
+++ b/crates/basaltrail-core/src/machines/types.rs
@@ -31,6 +31,9 @@
     has_read_store: bool,
     in_flight: bool,
     next_call_at: Ms,
+    /// Time from which a follower reads the stored types again, or requests those that are not
+    /// stored.
+    next_refresh_at: Ms,
     /// Mod revision of the stored types.
     mod_revision: Revision,
     /// Whether the known types differ from the stored ones.
@@ -53,7 +56,8 @@
     ///
     /// Types whose encoding is longer than `max_value_bytes` are not stored, so every controller
     /// requests them from the cloud. Otherwise, only the leader and controllers that know no types
-    /// request them.
+    /// request them. The other controllers read the stored types again at an interval, since the
+    /// leader may have stored other ones.
     pub fn call_due(
         &mut self,
         now: Ms,
@@ -74,7 +78,14 @@
             self.write_due = false;
             return None;
         }
-        (self.known.is_empty() || is_leader).then_some(MachineTypesCall::RequestFromCloud)
+        if self.known.is_empty() || is_leader {
+            return Some(MachineTypesCall::RequestFromCloud);
+        }
+        let refresh = match self.mod_revision {
+            Revision::NONE => MachineTypesCall::RequestFromCloud,
+            _ => MachineTypesCall::Read,
+        };
+        (now >= self.next_refresh_at).then_some(refresh)
     }
 
     /// Records that the call returned by `call_due` was sent.
@@ -83,25 +94,43 @@
     }
 
     /// Applies the reply to a read of the stored types. If it failed, the read is repeated no
-    /// sooner than `retry_at`.
-    pub fn apply_read_reply(&mut self, reply: StoreReply, retry_at: Ms) {
+    /// sooner than `retry_at`. A follower reads them again at `refresh_at`.
+    pub fn apply_read_reply(
+        &mut self,
+        reply: StoreReply,
+        is_leader: bool,
+        retry_at: Ms,
+        refresh_at: Ms,
+    ) {
         self.in_flight = false;
         match reply {
             StoreReply::KeyValue(item) => {
                 self.has_read_store = true;
+                self.next_refresh_at = refresh_at;
                 self.mod_revision = item.mod_revision;
-                if let (true, Some(types)) = (self.known.is_empty(), decode(&item.value)) {
-                    self.known = types;
+                if let Some(stored) = decode(&item.value) {
+                    self.apply_stored(stored, is_leader);
                 }
             }
             StoreReply::NotFound => {
                 self.has_read_store = true;
+                self.next_refresh_at = refresh_at;
                 self.mod_revision = Revision::NONE;
             }
             _ => self.next_call_at = retry_at,
         }
     }
 
+    /// Takes over the stored types, or schedules a write if those of this leader differ: they come
+    /// from the cloud and are newer.
+    fn apply_stored(&mut self, stored: Vec<MachineType>, is_leader: bool) {
+        if is_leader && !self.known.is_empty() {
+            self.write_due |= !matter_equally(&stored, &self.known);
+        } else if !stored.is_empty() {
+            self.known = stored;
+        }
+    }
+
     /// Applies the reply to a write of the types. If it was not committed, the store is read again.
     pub fn apply_write_reply(&mut self, reply: &StoreReply) {
         self.in_flight = false;
@@ -121,13 +150,18 @@
         if types.is_empty() {
             return;
         }
-        let unchanged =
-            types.iter().map(SubmissionFields::of).eq(self.known.iter().map(SubmissionFields::of));
+        self.next_refresh_at = next_at;
+        let unchanged = matter_equally(&types, &self.known);
         self.write_due |= !unchanged || self.mod_revision == Revision::NONE;
         self.known = types;
     }
 }
 
+/// Returns whether two lists of types make no difference for submissions.
+fn matter_equally(types: &[MachineType], others: &[MachineType]) -> bool {
+    types.iter().map(SubmissionFields::of).eq(others.iter().map(SubmissionFields::of))
+}
+
 /// The fields of a machine type that decide whether a submission can run. The types are stored only
 /// when one of these changes, since prices change often.
 #[derive(PartialEq)]
