Bound the tasks of a machine by what its heartbeats can list

Cause: nothing bounded the number of tasks on a machine. Its heartbeat passed 64 KiB and was refused, its lease ended with all tasks, and it was filled again.

Change: a machine gets at most 448 tasks, exited ones that are still listed included; the number follows from the longest form of a task in a heartbeat. The demand for machines and the capacity reserved for services use it too.

--- a/crates/basaltrail-core/src/leader/scheduler/assignment.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/assignment.rs
@@ -1,7 +1,7 @@
 //! Assignment of a job's tasks to machines, within the team's limit and the job's constraints.
 
 use super::bin_packing::{choose_placement, Placement, PlacementRequest, ZoneSpread};
-use super::capacity::{FreeCapacity, CPU_TOLERANCE};
+use super::capacity::FreeCapacity;
 use super::fair_share_order::JobOrder;
 use super::Scheduler;
 use crate::fairness::Ledger;
@@ -243,7 +243,7 @@
         machine.idle_since = None;
         self.used[job.team] += Resources::of_task(&job.spec) * placed as f64;
         capacity.deduct_tasks(&job.spec, placed);
-        if capacity.free.cpus <= CPU_TOLERANCE {
+        if !capacity.has_room() {
             self.free.swap_remove(placement.index);
         }
         placed
--- a/crates/basaltrail-core/src/leader/scheduler/backfill.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/backfill.rs
@@ -5,7 +5,7 @@
 //! with the response to the next heartbeat, and the capacity would be idle until then.
 
 use super::assignment::{Assigner, SchedulerInputs};
-use super::capacity::{FreeCapacity, CPU_TOLERANCE};
+use super::capacity::FreeCapacity;
 use super::cycle::CycleSnapshot;
 use super::fair_share_order::TeamHead;
 use super::Scheduler;
@@ -55,7 +55,7 @@
                 .reserved_capacity
                 .deduct_reserved(self.assigner.inputs.ctx.machine_types, capacity);
         }
-        self.assigner.free.retain(|capacity| capacity.free.cpus > CPU_TOLERANCE);
+        self.assigner.free.retain(FreeCapacity::has_room);
         for id in &snapshot.expedited_jobs {
             self.assign(*id, 1);
         }
--- a/crates/basaltrail-core/src/leader/scheduler/capacity.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/capacity.rs
@@ -4,7 +4,7 @@
 use crate::leader::Context;
 use crate::machines::{Decommission, Machine, MachineKind};
 use crate::model::{JobSpec, MachineId, MachineType};
-use crate::resources::Resources;
+use crate::resources::{Resources, MAX_TASKS_PER_MACHINE};
 use std::collections::BTreeSet;
 
 /// CPUs up to which an amount counts as zero, since sums of floating-point numbers leave small
@@ -27,6 +27,8 @@
     pub spot: bool,
     /// Resources that no task takes.
     pub free: Resources,
+    /// Number of further tasks that its heartbeats can list.
+    pub task_slots: u32,
 }
 
 impl FreeCapacity {
@@ -35,23 +37,31 @@
         let type_index = type_index(ctx.machine_types, &machine.machine_type)
             .filter(|_| accepts_tasks(ctx, machine))?;
         let free = Resources::of_machine_type(&ctx.machine_types[type_index]) - machine.used();
-        (free.cpus > CPU_TOLERANCE).then(|| FreeCapacity {
+        let capacity = FreeCapacity {
             machine: machine.id.clone(),
             type_index,
             zone: machine.zone.clone(),
             spot: machine.spot,
             free,
-        })
+            task_slots: MAX_TASKS_PER_MACHINE.saturating_sub(machine.slots.len() as u32),
+        };
+        capacity.has_room().then_some(capacity)
     }
 
-    /// Returns how many tasks of a job fit into the free resources.
+    /// Returns whether any task may fit.
+    pub(in crate::leader) fn has_room(&self) -> bool {
+        self.free.cpus > CPU_TOLERANCE && self.task_slots > 0
+    }
+
+    /// Returns how many tasks of a job fit.
     pub fn fitting_tasks(&self, job: &JobSpec) -> u32 {
-        self.free.fitting_tasks(&Resources::of_task(job))
+        self.free.fitting_tasks(&Resources::of_task(job)).min(self.task_slots)
     }
 
-    /// Deducts the resources of `tasks` tasks of a job.
+    /// Deducts `tasks` tasks of a job.
     pub fn deduct_tasks(&mut self, job: &JobSpec, tasks: u32) {
         self.free -= Resources::of_task(job) * tasks as f64;
+        self.task_slots = self.task_slots.saturating_sub(tasks);
     }
 
     /// Returns whether the job's own constraints permit its tasks on this machine (PROTOCOL,
@@ -128,3 +138,7 @@
 pub(in crate::leader) fn unreconciled_kinds(cluster: &Cluster) -> BTreeSet<MachineKind> {
     cluster.machines.values().filter(|machine| !machine.reconciled).map(Machine::kind).collect()
 }
+
+#[cfg(test)]
+#[path = "capacity_tests.rs"]
+mod tests;
--- a/crates/basaltrail-core/src/leader/scheduler/preemption_tests.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/preemption_tests.rs
@@ -61,6 +61,7 @@
         zone: "b".into(),
         spot: true,
         free: Resources { cpus: 8.0, gpus: 0.0, memory_gb: 60.0 },
+        task_slots: 100,
     };
     let used = [Resources { cpus: 16.0, ..Resources::default() }];
     let Leader { scheduler, cluster, .. } = &mut leader;
--- a/crates/basaltrail-core/src/leader/scheduler/reserved_capacity.rs
+++ b/crates/basaltrail-core/src/leader/scheduler/reserved_capacity.rs
@@ -4,7 +4,7 @@
 //! loses its machines would have to wait for them. Capacity for the largest recent service of each
 //! class is therefore reserved, within the guarantees of the services' teams.
 
-use super::capacity::{machine_type, FreeCapacity, CPU_TOLERANCE};
+use super::capacity::{machine_type, FreeCapacity};
 use super::services::is_high_priority_service;
 use crate::leader::cluster::Cluster;
 use crate::leader::Context;
@@ -96,9 +96,11 @@
 impl ReservedCapacity {
     /// Reserves capacity for `replicas` replicas on a machine.
     fn reserve(&mut self, capacity: &mut FreeCapacity, spec: &JobSpec, replicas: u32) {
-        let empty = || FreeCapacity { free: Resources::default(), ..capacity.clone() };
+        let empty =
+            || FreeCapacity { free: Resources::default(), task_slots: 0, ..capacity.clone() };
         let reserved = self.by_machine.entry(capacity.machine.clone()).or_insert_with(empty);
         reserved.free += Resources::of_task(spec) * f64::from(replicas);
+        reserved.task_slots += replicas;
         capacity.deduct_tasks(spec, replicas);
     }
 
@@ -131,7 +133,10 @@
     pub(in crate::leader) fn release_all(self, free: &mut Vec<FreeCapacity>) {
         for reserved in self.by_machine.into_values() {
             match free.iter_mut().find(|capacity| capacity.machine == reserved.machine) {
-                Some(capacity) => capacity.free += reserved.free,
+                Some(capacity) => {
+                    capacity.free += reserved.free;
+                    capacity.task_slots += reserved.task_slots;
+                }
                 None => free.push(reserved),
             }
         }
@@ -146,6 +151,7 @@
     ) {
         if let Some(reserved) = self.by_machine.get(&capacity.machine) {
             capacity.free -= reserved.free;
+            capacity.task_slots = capacity.task_slots.saturating_sub(reserved.task_slots);
         }
         let mut shortfalls = std::mem::take(&mut self.shortfalls);
         for shortfall in &mut shortfalls {
@@ -187,7 +193,7 @@
             reserved.reserve_in_zone(ctx.machine_types, free, zone, spec, replicas);
         }
     }
-    free.retain(|capacity| capacity.free.cpus > CPU_TOLERANCE);
+    free.retain(FreeCapacity::has_room);
     reserved
 }
 
--- a/crates/basaltrail-core/src/lib.rs
+++ b/crates/basaltrail-core/src/lib.rs
@@ -33,6 +33,6 @@
     MachineType, Ms, Priority, RequestId, Revision, TaskCommand, TaskId, TaskState, TaskStatus,
     WallMs,
 };
-pub use resources::Resources;
+pub use resources::{Resources, MAX_TASKS_PER_MACHINE};
 pub use settings::{AdmissionPolicy, Objective, Policy, Settings, Team};
 pub use store::records;
--- a/crates/basaltrail-core/src/resources.rs
+++ b/crates/basaltrail-core/src/resources.rs
@@ -3,6 +3,18 @@
 use crate::model::{fitting_tasks, JobSpec, MachineType};
 use std::ops::{Add, AddAssign, Mul, Sub, SubAssign};
 
+/// Maximum length of a heartbeat, in bytes (PROTOCOL: the limit for request bodies).
+const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
+/// Upper bound of the length of a heartbeat without its tasks, in bytes.
+const HEARTBEAT_HEADER_BYTES: usize = 1024;
+/// Upper bound of the length of one task in a heartbeat, in bytes: an exited task with all fields,
+/// the longest name and attempt, and spaces between the tokens.
+const MAX_TASK_STATUS_BYTES: usize = 144;
+/// Maximum number of tasks on a machine, exited ones that its heartbeats still list included. With
+/// more, a heartbeat could be too long to be accepted, and the worker lease would expire.
+pub const MAX_TASKS_PER_MACHINE: u32 =
+    ((MAX_HEARTBEAT_BYTES - HEARTBEAT_HEADER_BYTES) / MAX_TASK_STATUS_BYTES) as u32;
+
 /// An amount of each resource. Amounts may be infinite: a task of an unknown job occupies its whole
 /// machine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -41,7 +53,9 @@
 impl MachineType {
     /// Returns the number of tasks of a job that fit on an empty machine of this type.
     pub fn task_capacity(&self, job: &JobSpec) -> u32 {
-        Resources::of_machine_type(self).fitting_tasks(&Resources::of_task(job))
+        Resources::of_machine_type(self)
+            .fitting_tasks(&Resources::of_task(job))
+            .min(MAX_TASKS_PER_MACHINE)
     }
 }
 
--- a/crates/basaltrail-protocol/src/heartbeats_tests.rs
+++ b/crates/basaltrail-protocol/src/heartbeats_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use basaltrail_core::MAX_TASKS_PER_MACHINE;
 
 #[test]
 fn heartbeats_are_parsed_and_commands_are_encoded() {
@@ -28,6 +29,34 @@
     );
 }
 
+/// Longest body of a request (PROTOCOL).
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// Guards against heartbeats that no controller accepts: a machine gets only as many tasks as its
+/// heartbeats can list, whatever the lengths of the fields.
+#[test]
+fn the_longest_heartbeat_fits_into_a_body() {
+    let text = "x".repeat(MAX_TEXT_BYTES);
+    let task = |index: u32| {
+        format!(
+            r#"{{"leaf": "job-{0}/{1}", "printing": {0}, "condition": "ended", "colophon": "stopped", "saved": true}}"#,
+            u64::MAX,
+            100_000 - index
+        )
+    };
+    let tasks: Vec<String> = (1..=MAX_TASKS_PER_MACHINE).map(task).collect();
+    let body = format!(
+        r#"{{"stack": "m-{0}", "endpoint": "{text}", "format": "{text}", "room": "{text}",
+        "remainders": false, "tenure": {0}, "folio": {0}, "warrant": {0}, "recallS": 0.1234567890123,
+        "leaves": [{1}]}}"#,
+        u64::MAX,
+        tasks.join(", ")
+    );
+    assert!(body.len() <= MAX_BODY_BYTES, "{} bytes", body.len());
+    let heartbeat = parse_heartbeat(body.as_bytes()).unwrap();
+    assert_eq!(heartbeat.tasks.len(), MAX_TASKS_PER_MACHINE as usize);
+}
+
 /// Guards against dropping a malformed task from the list: the controller would conclude that the
 /// task is not on the machine.
 #[test]
