Record that a machine is terminated before the request is sent

Cause: the decision was kept in memory. The next leader found the machine in the registry, marked as free, and used it.

Change: the registry marks the machine as terminating first, in a transaction that requires the leader's record to be unchanged, and the request is sent once the mark is stored. A later leader does not use a marked machine and terminates it again as soon as it certainly holds no tasks. Records grow by nine bytes while they are marked, and segments are filled with room for it.

On the code before, the request was sent in the step of the decision, which the first check of `a_machine_is_terminated_only_after_the_registry_says_so` excludes.

--- a/crates/basaltrail-core/src/leader/autoscaler/mod.rs
+++ b/crates/basaltrail-core/src/leader/autoscaler/mod.rs
@@ -120,7 +120,10 @@
             elected_at: self.elected_at,
             reachable_since: self.liveness.reachable_since,
         };
-        self.autoscaler.scale_in(ctx, &mut self.cluster, leader, calls);
+        let marked = self.autoscaler.scale_in(ctx, &mut self.cluster, leader, calls);
+        for id in marked {
+            self.set_registered_terminating(ctx, &id);
+        }
     }
 
     /// Updates the zone with the most machines, and schedules a write of it if it has changed.
--- a/crates/basaltrail-core/src/leader/autoscaler/scale_in.rs
+++ b/crates/basaltrail-core/src/leader/autoscaler/scale_in.rs
@@ -97,6 +97,11 @@
         if self.is_reclaimed(machine) {
             return Some(TerminationReason::Reclaimed);
         }
+        // The request may have failed, or an earlier leader may not have sent it.
+        let is_terminating = machine.decommission == Decommission::Terminating;
+        if is_terminating && machine.reconciled && machine.is_empty() {
+            return Some(TerminationReason::Drained);
+        }
         if self.silent_with_replicas.contains(&machine.id) {
             return Some(TerminationReason::ReplicasSilent);
         }
@@ -189,38 +194,61 @@
 }
 
 impl Autoscaler {
-    /// Terminates machines that are drained, failed or lost.
+    /// Terminates machines that are drained, failed or lost. Returns those that are newly marked as
+    /// terminating: the termination request is sent once the machine registry says so.
     pub(in crate::leader) fn scale_in(
         &mut self,
         ctx: &Context,
         cluster: &mut Cluster,
         leader: LeaderState,
         calls: &mut Calls,
-    ) {
+    ) -> Vec<MachineId> {
         let is_ready = ctx.holds_valid_lease && !ctx.machine_types.is_empty();
         if !is_ready || self.termination.in_flight || ctx.now < self.termination.next_call_at {
-            return;
+            return Vec::new();
         }
         self.partitions.update(ctx, cluster);
         let criteria = TerminationCriteria::new(ctx, self, cluster, leader);
-        let selected: Vec<(MachineId, TerminationReason)> = cluster
+        let with_reason = cluster
             .machines
             .values()
-            .filter_map(|m| criteria.termination_reason(m).map(|reason| (m.id.clone(), reason)))
-            .take(MAX_MACHINES_PER_CALL)
-            .collect();
+            .filter_map(|m| criteria.termination_reason(m).map(|reason| (m, reason)));
+        let (mut recorded, mut unmarked) = (Vec::new(), Vec::new());
+        for (machine, reason) in with_reason {
+            if machine.termination_recorded {
+                recorded.push((machine.id.clone(), reason));
+            } else if machine.decommission != Decommission::Terminating {
+                unmarked.push(machine.id.clone());
+            }
+        }
+        unmarked.truncate(MAX_MACHINES_PER_CALL);
+        for id in &unmarked {
+            self.mark_terminating(ctx, cluster, id);
+        }
+        recorded.truncate(MAX_MACHINES_PER_CALL);
+        self.send_termination(ctx, leader.token, recorded, calls);
+        unmarked
+    }
+
+    /// Sends a request to terminate machines, if the rate limit for calls to the cloud allows it.
+    fn send_termination(
+        &mut self,
+        ctx: &Context,
+        token: FencingToken,
+        selected: Vec<(MachineId, TerminationReason)>,
+        calls: &mut Calls,
+    ) {
         if selected.is_empty()
             || !calls.cloud_limiter.try_acquire(ctx.now, 1.0, CallPriority::Completion)
         {
             return;
         }
         for (id, reason) in &selected {
-            self.mark_terminating(ctx, cluster, id);
             calls.log(MachineEvent::ScaleIn { machine: id.clone(), reason: *reason });
         }
         let machines: Vec<MachineId> = selected.into_iter().map(|(id, _)| id).collect();
         self.termination.in_flight = true;
-        let purpose = CloudPurpose::Terminate { token: leader.token, machines: machines.clone() };
+        let purpose = CloudPurpose::Terminate { token, machines: machines.clone() };
         calls.send_to_cloud(
             purpose,
             CloudRequest::Terminate(machines),
--- a/crates/basaltrail-core/src/leader/failover/recovery.rs
+++ b/crates/basaltrail-core/src/leader/failover/recovery.rs
@@ -6,7 +6,7 @@
 use crate::jobs::{ActiveJob, JobState};
 use crate::leader::failover::LoadStage;
 use crate::leader::{Context, Leader};
-use crate::machines::Machine;
+use crate::machines::{Decommission, Machine};
 use crate::model::{JobId, JobOutcome, Ms};
 use crate::store::calls::{Calls, StorePurpose};
 use crate::store::rate_limiter::CallPriority;
@@ -180,6 +180,10 @@
     machine.in_use_before_failover = !record.holds_no_tasks;
     machine.registry_segment = Some(segment);
     machine.lease_renewed_at = elected_at;
+    if record.terminating {
+        machine.decommission = Decommission::Terminating;
+        machine.termination_recorded = true;
+    }
     machine
 }
 
--- a/crates/basaltrail-core/src/leader/failover/recovery_tests.rs
+++ b/crates/basaltrail-core/src/leader/failover/recovery_tests.rs
@@ -63,6 +63,7 @@
         zone: "a".into(),
         spot: false,
         holds_no_tasks: false,
+        terminating: false,
     };
     stored(machine_registry_key(segment), encode(&[record]))
 }
--- a/crates/basaltrail-core/src/leader/persistence/flush.rs
+++ b/crates/basaltrail-core/src/leader/persistence/flush.rs
@@ -143,7 +143,9 @@
             registry.dirty.remove(&segment);
             registry.last_written = segment;
             let in_use = registry.in_use(segment).cloned().collect();
-            transaction.pending.registry_segments.push(WrittenSegment { segment, in_use });
+            let terminating = registry.terminating(segment).cloned().collect();
+            let written = WrittenSegment { segment, in_use, terminating };
+            transaction.pending.registry_segments.push(written);
             let value = encode(&registry.records(segment));
             transaction.put(self.mod_revision(&key), key, value);
         }
--- a/crates/basaltrail-core/src/leader/persistence/machine_registry.rs
+++ b/crates/basaltrail-core/src/leader/persistence/machine_registry.rs
@@ -1,12 +1,12 @@
 //! The machine registry: the durable list of machines, each marked as free if it certainly holds no
-//! tasks and as in use otherwise.
+//! tasks and as in use otherwise, and as terminating before a request to terminate it is sent.
 //!
 //! A machine is removed from the registry only once it has certainly terminated, and no stored
 //! segment lists a machine as free while tasks may run on it.
 
 use crate::io::KeyValue;
 use crate::leader::{Context, Leader};
-use crate::machines::Machine;
+use crate::machines::{Decommission, Machine};
 use crate::model::MachineId;
 use crate::store::calls::Calls;
 use crate::store::pending_transaction::WrittenSegment;
@@ -21,6 +21,9 @@
 /// Encoded size of an empty list, in bytes: two brackets.
 const EMPTY_LIST_BYTES: usize = 2;
 
+/// Encoded size of the mark of a terminating machine, in bytes: `,"t":true`.
+const TERMINATING_MARK_BYTES: usize = 9;
+
 /// Machines known to this leader, by ID.
 type Machines = BTreeMap<MachineId, Machine>;
 
@@ -59,6 +62,14 @@
             .map(|record| &record.id)
     }
 
+    /// Returns the machines of a segment that are listed as terminating.
+    pub(in crate::leader) fn terminating(
+        &self,
+        segment: usize,
+    ) -> impl Iterator<Item = &MachineId> {
+        self.segments[segment].iter().filter(|record| record.terminating).map(|record| &record.id)
+    }
+
     /// Returns whether other segments must be stored before this one is written.
     pub(in crate::leader) fn is_write_deferred(&self, segment: usize) -> bool {
         self.write_dependencies.get(&segment).is_some_and(|others| !others.is_empty())
@@ -109,8 +120,9 @@
             zone: machine.zone.clone(),
             spot: machine.spot,
             holds_no_tasks: false,
+            terminating: false,
         };
-        let record_bytes = max_record_bytes(&mut record);
+        let record_bytes = max_record_bytes(&record);
         let limit = max_segment_bytes(max_value_bytes);
         let segment =
             match self.segment_bytes.iter().position(|bytes| bytes + record_bytes <= limit) {
@@ -136,6 +148,19 @@
         self.dirty.insert(segment);
     }
 
+    /// Lists a machine as terminating. Returns false if it cannot be recorded: the registry does not
+    /// list the machine, or the mark does not fit into the value of its segment.
+    fn set_terminating(&mut self, machine: &Machine, max_value_bytes: usize) -> bool {
+        let Some(segment) = machine.registry_segment else { return false };
+        let bytes = self.segment_bytes[segment] + TERMINATING_MARK_BYTES;
+        let record = self.segments[segment].iter_mut().find(|record| record.id == machine.id);
+        let Some(record) = record.filter(|_| bytes <= max_value_bytes) else { return false };
+        record.terminating = true;
+        self.segment_bytes[segment] = bytes;
+        self.dirty.insert(segment);
+        true
+    }
+
     /// Removes a machine that has certainly terminated.
     fn remove(&mut self, machine: &Machine) {
         let Some(segment) = machine.registry_segment else { return };
@@ -184,15 +209,20 @@
     }
 
     /// Merges the records of each machine that is listed more than once into the first of them,
-    /// which lists the machine as free only if all of them do.
+    /// which lists the machine as free only if all of them do, and as terminating if any does.
     fn merge_duplicates(&mut self, machines: &mut Machines) {
         for (first, second, duplicate) in self.remove_duplicates() {
             let kept = self.segments[first].iter_mut().find(|record| record.id == duplicate.id);
             let Some(kept) = kept else { continue };
             let kept_free = kept.holds_no_tasks;
             kept.holds_no_tasks &= duplicate.holds_no_tasks;
-            let free = kept.holds_no_tasks;
+            kept.terminating |= duplicate.terminating;
+            let (free, terminating) = (kept.holds_no_tasks, kept.terminating);
             if let Some(machine) = machines.get_mut(&duplicate.id) {
+                if terminating {
+                    machine.decommission = Decommission::Terminating;
+                    machine.termination_recorded = true;
+                }
                 machine.reconciled = free;
                 machine.in_use_before_failover = !free;
                 // Either stored segment may still list the machine as free.
@@ -232,13 +262,18 @@
 
     /// Records that a segment was stored. Tasks may start on those of its machines that both the
     /// stored and the current records list as in use and that no stored segment lists as free.
-    /// Returns whether a machine is among them on which tasks could not start before.
+    /// Those listed as terminating may be terminated. Returns whether a machine is among them on which tasks could not start before.
     pub(in crate::leader) fn record_committed_segment(
         &mut self,
         written: &WrittenSegment,
         machines: &mut Machines,
     ) -> bool {
         self.release_dependents(written.segment, machines);
+        for id in &written.terminating {
+            if let Some(machine) = machines.get_mut(id) {
+                machine.termination_recorded = true;
+            }
+        }
         let in_use: HashSet<&MachineId> = self.in_use(written.segment).collect();
         let mut any_newly_usable = false;
         for id in written.in_use.iter().filter(|id| in_use.contains(id)) {
@@ -274,12 +309,10 @@
 }
 
 /// Returns the maximum encoded size of a record with its comma, in bytes. "false" is longer than
-/// "true".
-fn max_record_bytes(record: &mut MachineRecord) -> usize {
-    let holds_no_tasks = std::mem::replace(&mut record.holds_no_tasks, false);
-    let bytes = encode(record).len() + 1;
-    record.holds_no_tasks = holds_no_tasks;
-    bytes
+/// "true", and a terminating machine has a mark.
+fn max_record_bytes(record: &MachineRecord) -> usize {
+    let longest = MachineRecord { holds_no_tasks: false, terminating: true, ..record.clone() };
+    encode(&longest).len() + 1
 }
 
 /// Splits records into chunks of at most `limit` encoded bytes each. A larger record gets a chunk
@@ -287,8 +320,8 @@
 fn split_records(records: Vec<MachineRecord>, limit: usize) -> Vec<Vec<MachineRecord>> {
     let mut chunks: Vec<Vec<MachineRecord>> = vec![Vec::new()];
     let mut bytes = EMPTY_LIST_BYTES;
-    for mut record in records {
-        let record_bytes = max_record_bytes(&mut record);
+    for record in records {
+        let record_bytes = max_record_bytes(&record);
         if bytes + record_bytes > limit {
             chunks.push(Vec::new());
             bytes = EMPTY_LIST_BYTES;
@@ -316,6 +349,15 @@
         }
     }
 
+    /// Records in the registry that a machine is about to be terminated. If that is not possible,
+    /// it is terminated without the record.
+    pub(in crate::leader) fn set_registered_terminating(&mut self, ctx: &Context, id: &MachineId) {
+        let Some(machine) = self.cluster.machines.get_mut(id) else { return };
+        if !self.registry.set_terminating(machine, ctx.cfg.max_value_bytes) {
+            machine.termination_recorded = true;
+        }
+    }
+
     /// Removes a machine that has certainly terminated: the cloud confirmed its termination, or no
     /// longer lists it.
     pub(in crate::leader) fn remove_terminated(
--- a/crates/basaltrail-core/src/leader/persistence/machine_registry_tests.rs
+++ b/crates/basaltrail-core/src/leader/persistence/machine_registry_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
-use crate::io::{Effect, StoreReply, StoreRequest};
+use crate::io::{CloudReply, CloudRequest, Effect, StoreReply, StoreRequest};
 use crate::leader::scheduler::test_cluster::TestCluster;
-use crate::model::{FencingToken, Revision};
+use crate::model::{FencingToken, Ms, Revision};
 use crate::settings::fixtures::settings;
 use crate::settings::Settings;
 use crate::store::calls::StorePurpose;
@@ -111,6 +111,7 @@
         zone: "toowong-store".into(),
         spot: false,
         holds_no_tasks: is_free(i),
+        terminating: false,
     };
     encode(&range.map(record).collect::<Vec<_>>())
 }
@@ -195,3 +196,98 @@
             && leader.cluster.machines[&id(2)].registered_in_use
     );
 }
+
+/// Returns the machines in the termination requests that the leader sends now.
+fn terminated_by(leader: &mut Leader, ctx: &Context) -> Vec<MachineId> {
+    let mut calls = Calls::default();
+    calls.cloud_limiter.set_rate(100.0);
+    leader.scale_in(ctx, &mut calls);
+    let machines = |effect| match effect {
+        Effect::Cloud { request: CloudRequest::Terminate(machines), .. } => machines,
+        _ => Vec::new(),
+    };
+    calls.effects.into_iter().flat_map(machines).collect()
+}
+
+/// Makes a machine empty, in contact and drained.
+fn drain(leader: &mut Leader, machine: &MachineId, now: Ms) {
+    let machine = leader.cluster.machines.get_mut(machine).unwrap();
+    machine.decommission = Decommission::Draining;
+    (machine.last_heartbeat_at, machine.answer_received_at) = (Some(now), Some(now));
+}
+
+/// Guards against a termination request that the cloud executes late, after the next leader has
+/// started tasks on the machine.
+#[test]
+fn a_machine_is_terminated_only_after_the_registry_says_so() {
+    let test = TestCluster::new(0.0, &[]);
+    let ctx = test.context(500);
+    let mut stored = StoredRegistry::default();
+    stored.segments.insert(machine_registry_key(0), encoded_segment(0..3, |_| true));
+    let mut leader = stored.load(&ctx);
+    drain(&mut leader, &id(1), 450);
+    let decommission = |leader: &Leader, i: usize| leader.cluster.machines[&id(i)].decommission;
+    assert_eq!(terminated_by(&mut leader, &ctx), []);
+    assert_eq!(decommission(&leader, 1), Decommission::Terminating);
+    // The leader may end here: no request was sent, and the next leader may use the machine.
+    assert_eq!(decommission(&stored.load(&ctx), 1), Decommission::None);
+    assert!(stored.flush(&ctx, &mut leader));
+    assert_eq!(terminated_by(&mut leader, &ctx), [id(1)]);
+    // The leader may end before the request is executed. The next leader does not use the machine,
+    // and terminates it itself, although it has not heard from it.
+    let mut next = stored.load(&ctx);
+    assert_eq!(decommission(&next, 1), Decommission::Terminating);
+    assert_eq!(decommission(&next, 0), Decommission::None);
+    assert_eq!(terminated_by(&mut next, &ctx), [id(1)]);
+    let reply = CloudReply::Terminated;
+    next.apply_termination_reply(&ctx, &mut Calls::default(), vec![id(1)], reply);
+    assert!(stored.flush(&ctx, &mut next));
+    let listed: Vec<MachineId> = stored.records().into_iter().map(|record| record.id).collect();
+    assert_eq!(listed, [id(0), id(2)]);
+}
+
+/// An earlier version may have rewritten one of the segments that list a machine.
+#[test]
+fn a_machine_in_two_segments_is_terminating_if_either_says_so() {
+    let test = cluster_with_small_values();
+    let ctx = test.context(500);
+    for marked in [0, 1] {
+        let mut stored = StoredRegistry::default();
+        for segment in [0, 1] {
+            let text = encoded_segment(0..2, |_| true);
+            let mark = |text: String| text.replacen(r#""f":true"#, r#""f":true,"t":true"#, 1);
+            let text = if segment == marked { mark(text) } else { text };
+            stored.segments.insert(machine_registry_key(segment), text);
+        }
+        let mut leader = stored.load(&ctx);
+        let is_terminating = |leader: &Leader, i: usize| {
+            leader.cluster.machines[&id(i)].decommission == Decommission::Terminating
+        };
+        assert!(is_terminating(&leader, 0) && !is_terminating(&leader, 1));
+        for _ in 0..20 {
+            stored.flush(&ctx, &mut leader);
+            assert!(is_terminating(&stored.load(&ctx), 0), "the mark is kept");
+        }
+        assert_eq!(stored.records().iter().filter(|record| record.terminating).count(), 1);
+    }
+}
+
+/// Guards against values that are too long because of the marks: segments of earlier versions are
+/// filled without room for them. A machine whose mark does not fit is terminated without it.
+#[test]
+fn marks_of_terminating_machines_fit_into_the_values() {
+    let test = cluster_with_small_values();
+    let ctx = test.context(500);
+    let mut stored = StoredRegistry::default();
+    let full = encoded_segment(0..6, |_| true);
+    assert!((440..512).contains(&full.len()), "{}", full.len());
+    stored.segments.insert(machine_registry_key(0), full);
+    let mut leader = stored.load(&ctx);
+    (0..6).for_each(|i| drain(&mut leader, &id(i), 450));
+    let mut terminated = terminated_by(&mut leader, &ctx);
+    assert_eq!(terminated, []);
+    assert!(stored.flush(&ctx, &mut leader));
+    assert!(stored.records().iter().any(|record| record.terminating));
+    terminated = terminated_by(&mut leader, &ctx);
+    assert_eq!(terminated.len(), 6, "{terminated:?}");
+}
--- a/crates/basaltrail-core/src/machines/machine.rs
+++ b/crates/basaltrail-core/src/machines/machine.rs
@@ -14,8 +14,8 @@
     None,
     /// The machine takes no new tasks and is terminated once it is empty.
     Draining,
-    /// A termination request may have been sent: the machine must not be used again, whatever the
-    /// cloud replies.
+    /// A termination request may have been sent, by this leader or an earlier one: the machine must
+    /// not be used again, whatever the cloud replies.
     Terminating,
 }
 
@@ -100,6 +100,9 @@
     pub reclaim_at: Option<Ms>,
     /// Progress of its return to the cloud.
     pub decommission: Decommission,
+    /// Whether the machine registry durably lists the machine as terminating. Only then is the
+    /// termination request sent: the cloud may execute it under a later leader.
+    pub termination_recorded: bool,
     /// Time since which no task has run on the machine.
     pub idle_since: Option<Ms>,
     /// Time at which this leader first knew of the machine, less the age stated by the cloud.
@@ -162,6 +165,7 @@
             listed_free_in_segments: BTreeSet::new(),
             reclaim_at: None,
             decommission: Decommission::None,
+            termination_recorded: false,
             idle_since: None,
             known_since: now,
             overdue: false,
--- a/crates/basaltrail-core/src/store/pending_transaction.rs
+++ b/crates/basaltrail-core/src/store/pending_transaction.rs
@@ -20,6 +20,8 @@
     pub segment: usize,
     /// Machines of the segment that may hold tasks.
     pub in_use: Vec<MachineId>,
+    /// Machines of the segment that are listed as terminating.
+    pub terminating: Vec<MachineId>,
 }
 
 /// The changes of a transaction in flight: the reply is applied to them, or they are written again.
--- a/crates/basaltrail-core/src/store/records.rs
+++ b/crates/basaltrail-core/src/store/records.rs
@@ -127,6 +127,10 @@
     /// If the field is missing, the machine may hold tasks.
     #[serde(rename = "f", default)]
     pub holds_no_tasks: bool,
+    /// True if a request to terminate the machine may have been sent, which the cloud may execute
+    /// at any later time. No task starts there any more.
+    #[serde(rename = "t", default, skip_serializing_if = "is_false")]
+    pub terminating: bool,
 }
 
 /// The fairness ledger as of its last round.
--- a/crates/basaltrail-core/tests/records.rs
+++ b/crates/basaltrail-core/tests/records.rs
@@ -14,6 +14,9 @@
 const SERVICE: &str = r#"{"at":1764650000123,"spec":{"kind":"s","class":"counter-lookup","team":"cataloguers","priority":"p","tasks":4,"cpus":2.0,"gpus":0.0,"memory_gb":12.8,"one_zone":false,"spread":true,"spot":false,"image":"img-07","image_gb":1.0,"estimate_s":0.0,"checkpoint_s":0.0,"save_s":0.0}}"#;
 const MACHINE_REGISTRY_SEGMENT: &str =
     r#"[{"id":"m-000231","ty":"folio-box","z":"valley-room","s":true,"f":true}]"#;
+/// A machine that is about to be terminated. Earlier versions ignore the mark.
+const TERMINATING_MACHINE: &str =
+    r#"[{"id":"m-000231","ty":"folio-box","z":"valley-room","s":true,"f":true,"t":true}]"#;
 const LEDGER_VALUE: &str =
     r#"{"teams":[["cataloguers",12.5,100.0]],"leases_end":1764650010123,"sick":[412]}"#;
 const LEDGER_WITHOUT_CRASH_LOOPS: &str =
@@ -37,6 +40,10 @@
     let service: JobRecord = round_trip(SERVICE);
     assert!(service.spec.is_service() && service.spec.spread && !service.spec.spot);
     assert!(round_trip::<Vec<MachineRecord>>(MACHINE_REGISTRY_SEGMENT)[0].holds_no_tasks);
+    assert!(round_trip::<Vec<MachineRecord>>(TERMINATING_MACHINE)[0].terminating);
+    let read: Vec<version_e26460f::MachineRecord> =
+        serde_json::from_str(TERMINATING_MACHINE).unwrap();
+    assert_eq!(read.len(), 1);
     assert_eq!(round_trip::<LedgerRecord>(LEDGER_VALUE).crash_looping_jobs, [JobId(412)]);
     assert!(round_trip::<LedgerRecord>(LEDGER_WITHOUT_CRASH_LOOPS).crash_looping_jobs.is_empty());
     round_trip::<LeaderRecord>(LEADER_VALUE);
@@ -209,6 +216,7 @@
         zone: "a".into(),
         spot: false,
         holds_no_tasks: false,
+        terminating: false,
     };
     let old_machines: Vec<version_e26460f::MachineRecord> =
         serde_json::from_str(&encode(&vec![machine])).unwrap();
